Lay out the workspace, the shared model and the ownership decision

Cause: the repository was empty. Ruled out: one crate for all, which would mix decisions with I/O. Change: crates by duty, identifiers and configuration in tarragon-model, the ownership decision and the interfaces as documents.

--- /dev/null
+++ b/crates/model/src/host.rs
@@ -0,0 +1,88 @@
+//! Hosts that run the router, and their incarnations.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::name_type;
+
+name_type! {
+    /// Name of a host, stable over restarts.
+    Id
+}
+
+/// One run of the router on a host.
+///
+/// A process that starts on a host ends every earlier incarnation of that host, so a larger
+/// incarnation of the same host proves that the smaller one is gone.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Peer {
+    /// Host that runs the process.
+    pub host: Id,
+    /// Start time of the process in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+}
+
+impl Peer {
+    /// Creates the identity of one run of the router.
+    #[must_use]
+    pub fn new(host: Id, incarnation: u64) -> Self {
+        Self { host, incarnation }
+    }
+
+    /// Tells whether `self` is an earlier run on the same host than `other`.
+    ///
+    /// ```
+    /// use tarragon_model::host::{Id, Peer};
+    ///
+    /// let old = Peer::new(Id::new("h1"), 1);
+    /// let new = Peer::new(Id::new("h1"), 2);
+    /// assert!(old.is_ended_by(&new));
+    /// assert!(!new.is_ended_by(&old));
+    /// ```
+    #[must_use]
+    pub fn is_ended_by(&self, other: &Self) -> bool {
+        self.host == other.host && self.incarnation < other.incarnation
+    }
+}
+
+impl fmt::Display for Peer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.host, self.incarnation)
+    }
+}
+
+impl fmt::Debug for Peer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// Whether the platform's host list still counts on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// The host is expected to stay.
+    Live,
+    /// The host is about to be taken away.
+    Leaving,
+}
+
+/// Entry of the platform's host list, which may lag behind the truth.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name of the host.
+    pub id: Id,
+    /// Region in which the host stands.
+    pub region: String,
+    /// Failure domain in which the host stands.
+    pub failure_domain: String,
+    /// Address on which the router accepts connections from other routers.
+    pub peer_addr: std::net::SocketAddr,
+    /// Address on which the router accepts requests forwarded by other routers.
+    pub forward_addr: std::net::SocketAddr,
+    /// Address of the operators' port.
+    pub admin_addr: std::net::SocketAddr,
+    /// Whether the platform is about to take the host away.
+    pub state: State,
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,18 @@
+//! Identifiers, configuration and settings shared by every tarragonthread program.
+//!
+//! The crate holds plain data and the checks on it. It performs no I/O apart from reading a
+//! settings file, so that every other crate can depend on it.
+
+pub mod backend;
+pub mod config;
+pub mod fence;
+pub mod host;
+pub mod key;
+pub mod outcome;
+pub mod record;
+pub mod service;
+pub mod settings;
+pub mod shard;
+pub mod time;
+
+mod name;
--- /dev/null
+++ b/crates/model/src/name.rs
@@ -0,0 +1,59 @@
+//! Cheaply cloned names, the base of every identifier.
+
+/// Defines an identifier type around an interned, immutable string.
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(from = "String", into = "String")]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// Creates an identifier from its text.
+            #[must_use]
+            pub fn new(text: &str) -> Self {
+                Self(std::sync::Arc::from(text))
+            }
+
+            /// Returns the text of the identifier.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(std::sync::Arc::from(text))
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+pub(crate) use name_type;
--- /dev/null
+++ b/crates/model/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of one process, read from a JSON file with comments.
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
