Add the lease state machine of a shard

Cause: the router needs to know which process may act for a shard. Ruled out: messages and state as separate crates. Change: Member with leases, promises, succession, seals, replication and takeover through the store, as the ownership decision describes.

--- /dev/null
+++ b/crates/lease/src/message.rs
@@ -0,0 +1,132 @@
+//! Messages between the members of one shard.
+//!
+//! The caller adds the shard and the sender. Messages may be lost, duplicated, reordered and late.
+
+use serde::{Deserialize, Serialize};
+use tarragon_model::fence::Fence;
+use tarragon_model::host::Peer;
+
+use crate::state::{Held, Position, State};
+
+/// Message between two members; `fence` names the reign that it belongs to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(bound = "", rename_all = "kebab-case")]
+pub enum Message<S: State> {
+    /// Leader to standby: asks to renew the lease.
+    Renew {
+        /// Reign of the leader.
+        fence: Fence,
+        /// Number of the renewal.
+        seq: u64,
+    },
+    /// Answer to [`Message::Renew`]: the standby promises.
+    Renewed {
+        /// Reign of the leader.
+        fence: Fence,
+        /// Number of the renewal.
+        seq: u64,
+    },
+    /// Standby to leader: the standby no longer follows this reign.
+    Refused {
+        /// Reign of the leader.
+        fence: Fence,
+        /// Process that has succeeded the leader, if the standby knows.
+        heir: Option<Peer>,
+    },
+    /// First to second standby: asks to take part in a succession.
+    Yield {
+        /// Reign that the first standby would begin.
+        fence: Fence,
+        /// Number of the request, in the numbering of the first standby's renewals.
+        seq: u64,
+        /// How far the first standby holds the state.
+        held: Position,
+    },
+    /// Answer to [`Message::Yield`]: the second standby follows the old leader no more.
+    Yielded {
+        /// Reign that the first standby would begin.
+        fence: Fence,
+        /// Number of the request; the answer counts as its renewal.
+        seq: u64,
+        /// Whether the second standby was sealed, so that only the store may end the epoch.
+        sealed: bool,
+        /// How far the second standby holds the state.
+        held: Position,
+        /// The state, when the second standby is ahead of the first.
+        state: Option<Held<S>>,
+    },
+    /// Answer to [`Message::Yield`]: the promise to the leader still lasts.
+    Busy {
+        /// Reign that the first standby would begin.
+        fence: Fence,
+    },
+    /// Leader to standby: the whole state; `held.reign` is the reign.
+    Snapshot {
+        /// State of the leader.
+        held: Held<S>,
+    },
+    /// Leader to standby: entries that follow the one numbered `from`.
+    Append {
+        /// Reign of the leader.
+        fence: Fence,
+        /// Number of entries before the first one sent.
+        from: u64,
+        /// The entries.
+        entries: Vec<S::Entry>,
+    },
+    /// Answer to [`Message::Snapshot`] and [`Message::Append`].
+    Appended {
+        /// Reign of the leader.
+        fence: Fence,
+        /// Number of entries that the standby holds.
+        index: u64,
+    },
+    /// Answer to [`Message::Append`]: the standby lacks the reign's snapshot.
+    Missing {
+        /// Reign of the leader.
+        fence: Fence,
+    },
+    /// Leader to standby: take part in no succession without the store.
+    Seal {
+        /// Reign of the leader.
+        fence: Fence,
+        /// Number of the request.
+        seq: u64,
+    },
+    /// Answer to [`Message::Seal`].
+    Sealed {
+        /// Reign of the leader.
+        fence: Fence,
+        /// Number of the request.
+        seq: u64,
+        /// Number of entries that the standby holds of this reign; absent without its snapshot.
+        index: Option<u64>,
+    },
+    /// Leader to standby: the leader has stopped acting, for good.
+    Resign {
+        /// Reign of the leader.
+        fence: Fence,
+    },
+}
+
+impl<S: State> Message<S> {
+    /// Returns the reign that the message belongs to.
+    #[must_use]
+    pub fn fence(&self) -> Fence {
+        match self {
+            Self::Renew { fence, .. }
+            | Self::Renewed { fence, .. }
+            | Self::Refused { fence, .. }
+            | Self::Yield { fence, .. }
+            | Self::Yielded { fence, .. }
+            | Self::Busy { fence }
+            | Self::Append { fence, .. }
+            | Self::Appended { fence, .. }
+            | Self::Missing { fence }
+            | Self::Seal { fence, .. }
+            | Self::Sealed { fence, .. }
+            | Self::Resign { fence } => *fence,
+            Self::Snapshot { held } => held.reign,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lease/src/standby.rs
@@ -0,0 +1,491 @@
+//! The side of a standby: promises, seals, yields and the right to take over.
+
+use tarragon_model::fence::Fence;
+use tarragon_model::host::Peer;
+use tarragon_model::time::Instant;
+
+use crate::context::Context;
+use crate::flaw::Flaw;
+use crate::message::Message;
+use crate::output::Output;
+use crate::proposal::Proposal;
+use crate::renewal::Renewals;
+use crate::state::{Held, Position, State};
+use crate::timing::{ASK_EVERY, PROMISE, RENEW_EVERY, VACANT_EVERY};
+
+/// Promise not to take part in a succession.
+#[derive(Clone, Copy, Debug)]
+struct Promise {
+    until: Instant,
+    /// Whether the leader has resigned, which ends the promise for good.
+    void: bool,
+}
+
+impl Promise {
+    fn new(now: Instant) -> Self {
+        Self {
+            until: now + PROMISE,
+            void: false,
+        }
+    }
+
+    fn extend(&mut self, now: Instant) {
+        self.until = self.until.max(now + PROMISE);
+    }
+
+    fn is_over(self, now: Instant) -> bool {
+        self.void || now >= self.until
+    }
+}
+
+/// What the first standby knows of the second's answer to its request to yield.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    sealed: bool,
+    /// State of the second, which no longer changes.
+    held: Position,
+}
+
+/// Whom the second standby follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Follows {
+    /// The leader of the record.
+    Leader,
+    /// Nobody: it has yielded and does not know whether the first succeeded.
+    Nobody,
+    /// The first standby, which has succeeded.
+    First,
+}
+
+/// What differs between the two standbys.
+#[derive(Clone, Debug)]
+enum Side {
+    First {
+        renewals: Renewals,
+        ask_at: Instant,
+        answer: Option<Answer>,
+        /// When the latest request that was answered was sent.
+        renewed: Option<Instant>,
+    },
+    Second {
+        follows: Follows,
+    },
+}
+
+/// What a standby may do now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Right {
+    /// Nothing but follow.
+    Follow,
+    /// Succeed within the epoch.
+    Succeed,
+    /// Take over by a write to the store.
+    Write {
+        /// Whether the standby's state misses no committed entry.
+        complete: bool,
+    },
+}
+
+/// What the first standby brings into its own reign.
+#[derive(Clone, Debug)]
+pub(crate) struct Succession {
+    pub renewals: Renewals,
+    pub renewed: Option<Instant>,
+    /// Whether the second standby holds the same state.
+    pub shared: bool,
+}
+
+/// A standby within one epoch.
+#[derive(Clone, Debug)]
+pub(crate) struct Standby {
+    side: Side,
+    promise: Promise,
+    sealed: bool,
+    vacant_at: Instant,
+    wake: Instant,
+    /// Takeover that may take effect in the store at any time.
+    pub claim: Option<Proposal>,
+}
+
+impl Standby {
+    pub fn first(now: Instant) -> Self {
+        let side = Side::First {
+            renewals: Renewals::default(),
+            ask_at: now,
+            answer: None,
+            renewed: None,
+        };
+        Self::new(now, side)
+    }
+
+    pub fn second(now: Instant) -> Self {
+        Self::new(
+            now,
+            Side::Second {
+                follows: Follows::Leader,
+            },
+        )
+    }
+
+    /// The promise from the start covers those that this process gave in earlier epochs.
+    fn new(now: Instant, side: Side) -> Self {
+        Self {
+            side,
+            promise: Promise::new(now),
+            sealed: false,
+            vacant_at: now,
+            wake: now + PROMISE,
+            claim: None,
+        }
+    }
+
+    pub fn next_tick(&self) -> Instant {
+        self.wake
+    }
+
+    /// Handles a message of the epoch.
+    pub fn handle<S: State>(
+        &mut self,
+        now: Instant,
+        context: &Context,
+        held: &mut Held<S>,
+        from: &Peer,
+        message: Message<S>,
+        out: &mut Vec<Output<S>>,
+    ) {
+        let fence = message.fence();
+        let leads = match fence.succession {
+            0 => *from == context.trio.leader,
+            _ => *from == context.trio.first,
+        };
+        match message {
+            Message::Yielded {
+                seq,
+                sealed,
+                held: theirs,
+                state,
+                ..
+            } if *from == context.trio.second => {
+                self.on_yielded(
+                    seq,
+                    Answer {
+                        sealed,
+                        held: theirs,
+                    },
+                    held,
+                    state,
+                );
+            }
+            Message::Yield {
+                seq, held: theirs, ..
+            } if *from == context.trio.first => {
+                self.on_yield(now, context, held, seq, theirs, out);
+            }
+            message if leads => {
+                if let Some(reply) = self.follow(now, context, held, fence, message) {
+                    out.push(Output::Send {
+                        to: from.clone(),
+                        message: reply,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Handles a message of a leader and returns the answer.
+    fn follow<S: State>(
+        &mut self,
+        now: Instant,
+        context: &Context,
+        held: &mut Held<S>,
+        fence: Fence,
+        message: Message<S>,
+    ) -> Option<Message<S>> {
+        if !self.accepts(fence) {
+            let heir = self.heir(context);
+            return Some(Message::Refused { fence, heir });
+        }
+        if fence.succession > 0 {
+            self.side = Side::Second {
+                follows: Follows::First,
+            };
+        }
+        match message {
+            Message::Renew { seq, .. } if !self.promise.void => {
+                self.promise.extend(now);
+                Some(Message::Renewed { fence, seq })
+            }
+            Message::Snapshot { held: sent } => {
+                if sent.position() > held.position() {
+                    *held = sent;
+                }
+                Some(Message::Appended {
+                    fence,
+                    index: held.index,
+                })
+            }
+            Message::Append { from, entries, .. } => Some(append(held, fence, from, &entries)),
+            Message::Seal { seq, .. } => {
+                self.sealed = context.flaw != Some(Flaw::ForgetSeal);
+                let index = (held.reign == fence).then_some(held.index);
+                Some(Message::Sealed { fence, seq, index })
+            }
+            Message::Resign { .. } => {
+                self.promise.void = true;
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Tells whether the standby still follows the leader of a reign.
+    fn accepts(&self, fence: Fence) -> bool {
+        if self.claim.is_some() {
+            return false;
+        }
+        match self.side {
+            Side::First { .. } => fence.succession == 0,
+            Side::Second { follows } => (fence.succession == 0) == (follows == Follows::Leader),
+        }
+    }
+
+    fn heir(&self, context: &Context) -> Option<Peer> {
+        let succeeded = matches!(
+            self.side,
+            Side::Second {
+                follows: Follows::First
+            }
+        );
+        succeeded.then(|| context.trio.first.clone())
+    }
+
+    /// Tells whether the standby may take part in a succession.
+    fn is_free(&self, now: Instant, context: &Context) -> bool {
+        let followed = match self.side {
+            Side::Second { follows } if follows != Follows::Leader => &context.trio.first,
+            _ => &context.trio.leader,
+        };
+        context.flaw == Some(Flaw::NoPromise)
+            || self.promise.is_over(now)
+            || context.is_gone(followed)
+    }
+
+    /// Answers the first standby's request.
+    fn on_yield<S: State>(
+        &mut self,
+        now: Instant,
+        context: &Context,
+        held: &Held<S>,
+        seq: u64,
+        theirs: Position,
+        out: &mut Vec<Output<S>>,
+    ) {
+        let free = self.is_free(now, context);
+        let Side::Second { follows } = &mut self.side else {
+            return;
+        };
+        if self.claim.is_some() {
+            return;
+        }
+        let fence = context.fence(1);
+        let to = context.trio.first.clone();
+        if *follows == Follows::Leader {
+            if !free {
+                out.push(Output::Send {
+                    to,
+                    message: Message::Busy { fence },
+                });
+                return;
+            }
+            *follows = Follows::Nobody;
+            self.promise = Promise::new(now);
+        }
+        if !self.sealed {
+            self.promise.extend(now);
+        }
+        let ahead = held.position() > theirs;
+        let skip = ahead && context.flaw == Some(Flaw::SkipYieldState);
+        let message = Message::Yielded {
+            fence,
+            seq,
+            sealed: self.sealed,
+            held: if skip { theirs } else { held.position() },
+            state: (ahead && !skip).then(|| held.clone()),
+        };
+        out.push(Output::Send { to, message });
+    }
+
+    /// Takes in the second standby's answer.
+    fn on_yielded<S: State>(
+        &mut self,
+        seq: u64,
+        theirs: Answer,
+        held: &mut Held<S>,
+        state: Option<Held<S>>,
+    ) {
+        let Side::First {
+            renewals,
+            answer,
+            renewed,
+            ..
+        } = &mut self.side
+        else {
+            return;
+        };
+        *answer = Some(theirs);
+        *renewed = (*renewed).max(renewals.sent_at(seq));
+        if let Some(state) = state
+            && state.position() > held.position()
+        {
+            *held = state;
+        }
+    }
+
+    /// Tells what the standby may do now.
+    pub fn right<S: State>(&self, now: Instant, context: &Context, held: &Held<S>) -> Right {
+        if !self.is_free(now, context) {
+            return Right::Follow;
+        }
+        match &self.side {
+            Side::First { answer, .. } => self.right_of_first(now, context, held, *answer),
+            Side::Second { follows } => Self::right_of_second(now, context, held, *follows),
+        }
+    }
+
+    fn right_of_first<S: State>(
+        &self,
+        now: Instant,
+        context: &Context,
+        held: &Held<S>,
+        answer: Option<Answer>,
+    ) -> Right {
+        let gone = context.is_gone(&context.trio.second);
+        match answer {
+            Some(answer) if !answer.sealed && !self.sealed && !gone => Right::Succeed,
+            Some(_) => Right::Write {
+                complete: held.complete && held.reign == context.fence(0),
+            },
+            None if context.is_lapsed(now, &context.trio.second) => {
+                Right::Write { complete: false }
+            }
+            None => Right::Follow,
+        }
+    }
+
+    fn right_of_second<S: State>(
+        now: Instant,
+        context: &Context,
+        held: &Held<S>,
+        follows: Follows,
+    ) -> Right {
+        if follows == Follows::First {
+            return Right::Write {
+                complete: held.complete && held.reign == context.fence(1),
+            };
+        }
+        if context.is_lapsed(now, &context.trio.first) {
+            return Right::Write { complete: false };
+        }
+        Right::Follow
+    }
+
+    /// Asks the second standby to yield and reports a vacant shard, each when due.
+    pub fn tick<S: State>(
+        &mut self,
+        now: Instant,
+        context: &Context,
+        held: &Held<S>,
+        out: &mut Vec<Output<S>>,
+    ) {
+        if self.is_free(now, context) {
+            self.wake = now + RENEW_EVERY;
+            self.ask(now, context, held, out);
+        } else {
+            self.wake = self.promise.until;
+        }
+        let vacant = matches!(self.right(now, context, held), Right::Write { .. });
+        if vacant && self.claim.is_none() && now >= self.vacant_at {
+            self.vacant_at = now + VACANT_EVERY;
+            out.push(Output::Vacant {
+                epoch: context.epoch + 1,
+            });
+        }
+    }
+
+    fn ask<S: State>(
+        &mut self,
+        now: Instant,
+        context: &Context,
+        held: &Held<S>,
+        out: &mut Vec<Output<S>>,
+    ) {
+        let Side::First {
+            renewals,
+            ask_at,
+            answer: None,
+            ..
+        } = &mut self.side
+        else {
+            return;
+        };
+        if self.claim.is_some() {
+            return;
+        }
+        if now >= *ask_at {
+            *ask_at = now + ASK_EVERY;
+            let seq = renewals.next(now);
+            let message = Message::Yield {
+                fence: context.fence(1),
+                seq,
+                held: held.position(),
+            };
+            out.push(Output::Send {
+                to: context.trio.second.clone(),
+                message,
+            });
+        }
+        self.wake = self.wake.min(*ask_at);
+    }
+
+    /// Returns what the first standby brings into its reign.
+    pub fn succession<S: State>(&self, held: &Held<S>) -> Option<Succession> {
+        let Side::First {
+            renewals,
+            answer,
+            renewed,
+            ..
+        } = &self.side
+        else {
+            return None;
+        };
+        let shared = answer.is_some_and(|answer| answer.held == held.position());
+        Some(Succession {
+            renewals: renewals.clone(),
+            renewed: *renewed,
+            shared,
+        })
+    }
+}
+
+/// Applies the entries that are new and returns the answer.
+fn append<S: State>(
+    held: &mut Held<S>,
+    fence: Fence,
+    from: u64,
+    entries: &[S::Entry],
+) -> Message<S> {
+    if held.reign != fence {
+        return Message::Missing { fence };
+    }
+    if let Some(known) = held.index.checked_sub(from) {
+        let known = usize::try_from(known).unwrap_or(usize::MAX);
+        for entry in entries.iter().skip(known) {
+            held.push(entry);
+        }
+    }
+    Message::Appended {
+        fence,
+        index: held.index,
+    }
+}
--- /dev/null
+++ b/crates/lease/src/timing.rs
@@ -0,0 +1,33 @@
+//! Spans of the lease protocol, measured on the monotonic clock of each process.
+//!
+//! A standby's promise outlasts the leader's lease by more than two clocks can drift apart in one
+//! lease when each runs within 5 % of true time.
+
+use std::time::Duration;
+
+/// Time between two renewals of a leader's lease.
+pub const RENEW_EVERY: Duration = Duration::from_millis(200);
+
+/// Time for which a leader may act after it sent a renewal that a standby answered.
+pub const LEASE: Duration = Duration::from_secs(1);
+
+/// Time for which a standby takes part in no succession after it received a renewal.
+pub const PROMISE: Duration = Duration::from_millis(1_150);
+
+/// Time without an answer after which a standby counts as silent.
+pub const SILENCE: Duration = Duration::from_secs(2);
+
+/// Time between two requests of the first standby that the second yield.
+pub const ASK_EVERY: Duration = Duration::from_millis(50);
+
+/// Time after which unacknowledged entries are sent again.
+pub const RESEND_ENTRIES: Duration = RENEW_EVERY;
+
+/// Time after which an unacknowledged snapshot is sent again.
+pub const RESEND_SNAPSHOT: Duration = Duration::from_millis(500);
+
+/// Time after which a proposal is dropped when no standby has sealed.
+pub const SEAL_TIMEOUT: Duration = SILENCE;
+
+/// Time between two reports that the shard can be taken over through the store.
+pub const VACANT_EVERY: Duration = Duration::from_secs(1);
