Read settings and configurations from JSON with comments, and check them

Cause: routers and operators meet their mistakes in files first, and a router must never meet a configuration that it cannot follow. Ruled out: deserialising through serde_json, which knows neither comments nor positions; checks within the deserialisers, which stop at the first mistake. Change: problems carry a path, which is looked up in the syntax tree to name line and column. An unknown field, which the parser reports at the start of its object, is looked up the same way.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -6,6 +6,11 @@
 
 use crate::{backend, key, service, shard};
 
+mod check;
+
+pub use self::check::{MAX_GROUPS, check, check_change, check_service};
+pub use crate::problem::Problem;
+
 /// Name of the store object, of the kind [`KIND`], that holds the [`Config`].
 pub const OBJECT: &str = "main";
 /// Kind of the store objects that hold configuration.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod host;
 pub mod key;
 pub mod outcome;
+pub mod problem;
 pub mod record;
 pub mod service;
 pub mod settings;
 pub mod shard;
 pub mod time;
 
+mod document;
 mod name;
