--- /dev/null
+++ b/crates/store/src/api.rs
@@ -0,0 +1,55 @@
+//! Border between the users of the store and the way to reach it.
+
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use crate::error::Error;
+use crate::object::{Changes, Key, List, Object, Version};
+
+/// Answer of the store, borrowed from the call's arguments.
+pub type Answer<'a, T> = BoxFuture<'a, Result<T, Error>>;
+
+/// Calls of the platform's object API.
+///
+/// Each call ends soon after `stop` is cancelled. A write that is cancelled on its way fails with
+/// [`Kind::Uncertain`](crate::error::Kind::Uncertain).
+pub trait Api: Send + Sync {
+    /// Reads one object; the answer may lag behind the latest write.
+    fn get<'a>(&'a self, key: Key<'a>, stop: &'a CancellationToken) -> Answer<'a, Object>;
+
+    /// Reads all objects of a kind; the answer may lag behind the latest write.
+    fn list<'a>(&'a self, kind: &'a str, stop: &'a CancellationToken) -> Answer<'a, List>;
+
+    /// Writes an object if it has the version `expected`, and returns its new version.
+    ///
+    /// [`Version::ABSENT`] demands that the object does not exist.
+    fn put<'a>(
+        &'a self,
+        key: Key<'a>,
+        expected: Version,
+        value: &'a Value,
+        stop: &'a CancellationToken,
+    ) -> Answer<'a, Version>;
+
+    /// Deletes an object if it has the version `expected`.
+    fn delete<'a>(
+        &'a self,
+        key: Key<'a>,
+        expected: Version,
+        stop: &'a CancellationToken,
+    ) -> Answer<'a, ()>;
+
+    /// Waits for changes of a kind after the revision `after`, at most for `wait`.
+    ///
+    /// Returns no changes when none came in time.
+    fn watch<'a>(
+        &'a self,
+        kind: &'a str,
+        after: Version,
+        wait: Duration,
+        stop: &'a CancellationToken,
+    ) -> Answer<'a, Changes>;
+}
