Judge runs by pure verdicts and read fault schedules

Cause: the promises need evidence from whole systems of real processes. Change: traces of runs, attempts and samples; one verdict for each figure; fault files checked with line and column; random schedules fixed by their seed.

--- /dev/null
+++ b/crates/lab/src/faults/mod.rs
@@ -0,0 +1,328 @@
+//! Faults that a run injects: what they are, where they come from and what they strike.
+//!
+//! | kind | target | effect |
+//! |---|---|---|
+//! | `host-kill` | host | SIGKILL, restarted under the same name after `for_ms` |
+//! | `host-freeze` | host | SIGSTOP, SIGCONT after `for_ms` |
+//! | `host-drain` | host | SIGTERM, restarted `for_ms` after its end |
+//! | `roll-hosts` | - | all hosts replaced one by one |
+//! | `link-cut` | two of host, backend server | nothing passes between them |
+//! | `link-cut-forward` | two | nothing passes from the first to the second |
+//! | `link-cut-back` | two | nothing passes from the second to the first |
+//! | `partition` | hosts, region or failure domain | cut off from all other hosts |
+//! | `region-cut` | region | cut off from all other regions and their backend servers |
+//! | `domain-kill` | failure domain | all its hosts killed, restarted after `for_ms` |
+//! | `store-down` | - | the store refuses all calls |
+//! | `store-slow` | - | the store answers late |
+//! | `store-stale` | - | reads and watches of the store lag |
+//! | `store-lose-answers` | - | answers are lost after the write took effect |
+//! | `store-cut` | host | one host cannot reach the store |
+//! | `list-lag` | - | the host list lags for long |
+//! | `list-wrong` | host | the host list states the contrary about the host |
+//! | `operators-race` | - | two conditional updates of the preset at once |
+//! | `preset-change` | preset or - | an operator changes the preset |
+//! | `backend-kill` | backend server | SIGKILL, restarted after `for_ms` |
+//! | `backend-freeze` | backend server | SIGSTOP, SIGCONT after `for_ms` |
+//! | `backend-drain` | backend server | told to drain, restarted after `for_ms` |
+//! | `backend-shed` | backend server | refuses work before running it |
+//! | `backend-lie` | backend server | health and load endpoints mislead |
+//! | `backend-slow` | backend server | runs work more slowly |
+//! | `backend-cold` | backend server | starts anew and warms up slowly |
+//! | `backend-half-answer` | backend server | breaks connections within answers |
+//! | `poison` | service or - | a request that ends each backend server which runs it |
+
+pub mod file;
+pub mod schedule;
+
+use std::fmt;
+
+use smallvec::SmallVec;
+
+/// What a fault does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[expect(missing_docs, reason = "the table of the module documents the kinds")]
+pub enum Kind {
+    HostKill,
+    HostFreeze,
+    HostDrain,
+    RollHosts,
+    LinkCut,
+    LinkCutForward,
+    LinkCutBack,
+    Partition,
+    RegionCut,
+    DomainKill,
+    StoreDown,
+    StoreSlow,
+    StoreStale,
+    StoreLoseAnswers,
+    StoreCut,
+    ListLag,
+    ListWrong,
+    OperatorsRace,
+    PresetChange,
+    BackendKill,
+    BackendFreeze,
+    BackendDrain,
+    BackendShed,
+    BackendLie,
+    BackendSlow,
+    BackendCold,
+    BackendHalfAnswer,
+    Poison,
+}
+
+/// What the target of a fault names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// No target is needed.
+    Nothing,
+    /// One host.
+    Host,
+    /// One host, or none for the program to choose.
+    AnyHost,
+    /// Two ends of a link, each a host or backend server.
+    Link,
+    /// A list of hosts, one region or one failure domain.
+    Group,
+    /// One region.
+    Region,
+    /// One failure domain.
+    Domain,
+    /// One backend server.
+    Backend,
+    /// One preset, or none for the next.
+    Preset,
+    /// One service, or none for the keyed one.
+    Service,
+}
+
+impl Kind {
+    /// All kinds, with their names and targets.
+    pub const ALL: [(Self, &'static str, Scope); 28] = [
+        (Self::HostKill, "host-kill", Scope::Host),
+        (Self::HostFreeze, "host-freeze", Scope::Host),
+        (Self::HostDrain, "host-drain", Scope::Host),
+        (Self::RollHosts, "roll-hosts", Scope::Nothing),
+        (Self::LinkCut, "link-cut", Scope::Link),
+        (Self::LinkCutForward, "link-cut-forward", Scope::Link),
+        (Self::LinkCutBack, "link-cut-back", Scope::Link),
+        (Self::Partition, "partition", Scope::Group),
+        (Self::RegionCut, "region-cut", Scope::Region),
+        (Self::DomainKill, "domain-kill", Scope::Domain),
+        (Self::StoreDown, "store-down", Scope::Nothing),
+        (Self::StoreSlow, "store-slow", Scope::Nothing),
+        (Self::StoreStale, "store-stale", Scope::Nothing),
+        (Self::StoreLoseAnswers, "store-lose-answers", Scope::Nothing),
+        (Self::StoreCut, "store-cut", Scope::Host),
+        (Self::ListLag, "list-lag", Scope::Nothing),
+        (Self::ListWrong, "list-wrong", Scope::AnyHost),
+        (Self::OperatorsRace, "operators-race", Scope::Nothing),
+        (Self::PresetChange, "preset-change", Scope::Preset),
+        (Self::BackendKill, "backend-kill", Scope::Backend),
+        (Self::BackendFreeze, "backend-freeze", Scope::Backend),
+        (Self::BackendDrain, "backend-drain", Scope::Backend),
+        (Self::BackendShed, "backend-shed", Scope::Backend),
+        (Self::BackendLie, "backend-lie", Scope::Backend),
+        (Self::BackendSlow, "backend-slow", Scope::Backend),
+        (Self::BackendCold, "backend-cold", Scope::Backend),
+        (
+            Self::BackendHalfAnswer,
+            "backend-half-answer",
+            Scope::Backend,
+        ),
+        (Self::Poison, "poison", Scope::Service),
+    ];
+
+    /// Returns the kind of that name.
+    #[must_use]
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL
+            .iter()
+            .find(|(_, text, _)| *text == name)
+            .map(|(kind, _, _)| *kind)
+    }
+
+    /// Returns the name of the kind.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        self.row().1
+    }
+
+    /// Returns what the target names.
+    #[must_use]
+    pub fn scope(self) -> Scope {
+        self.row().2
+    }
+
+    fn row(self) -> &'static (Self, &'static str, Scope) {
+        let row = Self::ALL.iter().find(|(kind, _, _)| *kind == self);
+        row.unwrap_or(&Self::ALL[0])
+    }
+
+    /// Tells whether the fault takes processes or paths away that a shard may need.
+    ///
+    /// The promise on unavailable time covers one such fault at a time; the others must not
+    /// disturb service at all.
+    #[must_use]
+    pub fn is_disruptive(self) -> bool {
+        matches!(
+            self,
+            Self::HostKill
+                | Self::HostFreeze
+                | Self::HostDrain
+                | Self::RollHosts
+                | Self::LinkCut
+                | Self::LinkCutForward
+                | Self::LinkCutBack
+                | Self::Partition
+                | Self::RegionCut
+                | Self::DomainKill
+                | Self::BackendKill
+                | Self::BackendFreeze
+                | Self::BackendDrain
+                | Self::BackendCold
+                | Self::BackendShed
+                | Self::BackendHalfAnswer
+                | Self::Poison
+        )
+    }
+
+    /// Tells whether the fault keeps hosts from the store.
+    #[must_use]
+    pub fn hides_store(self) -> bool {
+        matches!(
+            self,
+            Self::StoreDown
+                | Self::StoreSlow
+                | Self::StoreStale
+                | Self::StoreLoseAnswers
+                | Self::StoreCut
+                | Self::Partition
+                | Self::RegionCut
+                | Self::LinkCut
+                | Self::LinkCutForward
+                | Self::LinkCutBack
+                | Self::HostFreeze
+        )
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// Names of the hosts, backend servers or groups that a fault strikes.
+pub type Names = SmallVec<[String; 2]>;
+
+/// One fault of a schedule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Time from the start of the load, in milliseconds.
+    pub at_ms: u64,
+    /// What happens.
+    pub kind: Kind,
+    /// What it strikes.
+    pub target: Names,
+    /// How long it lasts, in milliseconds.
+    pub for_ms: u64,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let target = if self.target.is_empty() {
+            "-".to_owned()
+        } else {
+            self.target.join(",")
+        };
+        write!(
+            f,
+            "at_ms={} kind={} target={target} for_ms={}",
+            self.at_ms, self.kind, self.for_ms
+        )
+    }
+}
+
+/// Everything that faults may strike, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Field {
+    /// Hosts.
+    pub hosts: Vec<String>,
+    /// Backend servers.
+    pub backends: Vec<String>,
+    /// Regions.
+    pub regions: Vec<String>,
+    /// Failure domains.
+    pub domains: Vec<String>,
+    /// Services.
+    pub services: Vec<String>,
+}
+
+/// Names of the presets.
+const PRESETS: [&str; 3] = ["ordinary", "peak", "maintenance"];
+
+impl Field {
+    /// Checks that a target fits the kind of fault.
+    ///
+    /// # Errors
+    ///
+    /// Tells in words what the kind needs.
+    pub fn check(&self, kind: Kind, target: &[String]) -> Result<(), String> {
+        let known = |names: &[String], name: &String| names.contains(name);
+        let (fits, needs) = match kind.scope() {
+            Scope::Nothing => (target.is_empty(), "no target"),
+            Scope::Host => (one(target, &self.hosts), "one host"),
+            Scope::AnyHost => (optional(target, &self.hosts), "one host or no target"),
+            Scope::Region => (one(target, &self.regions), "one region"),
+            Scope::Domain => (one(target, &self.domains), "one failure domain"),
+            Scope::Backend => (one(target, &self.backends), "one backend server"),
+            Scope::Service => (optional(target, &self.services), "one service or no target"),
+            Scope::Preset => {
+                let presets = PRESETS.map(str::to_owned);
+                (optional(target, &presets), "one preset or no target")
+            }
+            Scope::Link => {
+                let ends = |name| known(&self.hosts, name) || known(&self.backends, name);
+                let has_host = target.iter().any(|name| known(&self.hosts, name));
+                let distinct = target.len() == 2 && target[0] != target[1];
+                (distinct && has_host && target.iter().all(ends), LINK)
+            }
+            Scope::Group => (!self.members(target).is_empty(), GROUP),
+        };
+        if fits {
+            return Ok(());
+        }
+        let given = if target.is_empty() {
+            "nothing".to_owned()
+        } else {
+            target.join(", ")
+        };
+        Err(format!("{kind} needs {needs}, not {given}"))
+    }
+
+    /// Returns the names of a list of hosts, or the one region or failure domain of the target.
+    ///
+    /// Empty when a name is unknown.
+    #[must_use]
+    pub fn members<'a>(&self, target: &'a [String]) -> &'a [String] {
+        let all_hosts = target.iter().all(|name| self.hosts.contains(name));
+        if all_hosts || one(target, &self.regions) || one(target, &self.domains) {
+            target
+        } else {
+            &[]
+        }
+    }
+}
+
+const LINK: &str = "two different hosts, or one host and one backend server";
+const GROUP: &str = "a list of hosts, one region or one failure domain";
+
+fn one(target: &[String], names: &[String]) -> bool {
+    target.len() == 1 && names.contains(&target[0])
+}
+
+fn optional(target: &[String], names: &[String]) -> bool {
+    target.is_empty() || one(target, names)
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! Experiments on whole systems of real processes.
+//!
+//! A run starts the platform's stand-ins, the backend servers, the fault proxy and one router
+//! process for each host on loopback, puts load on them, injects faults and judges the promises
+//! from the backend servers' records and the callers' log.
+
+pub mod clock;
+pub mod error;
+pub mod faults;
+pub mod trace;
+pub mod verdict;
--- /dev/null
+++ b/crates/lab/src/verdict/outage.rs
@@ -0,0 +1,89 @@
+//! Time for which keys were not served.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use smallvec::smallvec;
+
+use super::Breach;
+use crate::trace::Gap;
+
+/// Longest time for which a covered fault may keep a key from being served, in milliseconds.
+pub const PROMISE_MS: u64 = 4_000;
+
+/// Distribution of the gaps of one kind of fault, in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spread {
+    /// Number of gaps.
+    pub count: u64,
+    /// Median.
+    pub p50: u64,
+    /// 99th percentile.
+    pub p99: u64,
+    /// Longest.
+    pub max: u64,
+}
+
+/// Returns the longest covered gap in milliseconds and the gaps over the promise.
+#[must_use]
+pub fn unavailable(gaps: &[Gap]) -> (u64, Vec<Breach>) {
+    let covered = || gaps.iter().filter(|gap| gap.covered);
+    let longest = covered().map(Gap::millis).max().unwrap_or_default();
+    let mut breaches: Vec<Breach> = covered()
+        .filter(|gap| gap.millis() > PROMISE_MS)
+        .map(breach)
+        .collect();
+    breaches.sort_by_key(|breach| breach.at_us);
+    (longest, breaches)
+}
+
+fn breach(gap: &Gap) -> Breach {
+    Breach {
+        at_us: gap.from_us,
+        promise: "unavailable_ms_max",
+        key: format!("{}/{}", gap.service, gap.key),
+        parties: gap.faults.iter().cloned().collect(),
+        evidence: smallvec![format!(
+            "from_us={} to_us={} gap_ms={} first: {}",
+            gap.from_us,
+            gap.to_us,
+            gap.millis(),
+            gap.first
+        )],
+    }
+}
+
+/// Returns the spread of all gaps by the kinds of faults that were active.
+#[must_use]
+pub fn by_kind(gaps: &[Gap]) -> BTreeMap<String, Spread> {
+    let mut kinds: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for gap in gaps {
+        let kind = if gap.faults.is_empty() {
+            "none".to_owned()
+        } else {
+            gap.faults.join("+")
+        };
+        kinds.entry(kind).or_default().push(gap.millis());
+    }
+    kinds
+        .into_iter()
+        .map(|(kind, values)| (kind, spread(&values)))
+        .collect()
+}
+
+/// Returns the spread of values in milliseconds.
+#[must_use]
+pub fn spread(values: &[u64]) -> Spread {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+        return Spread::default();
+    };
+    for value in values {
+        histogram.saturating_record(*value);
+    }
+    Spread {
+        count: histogram.len(),
+        p50: histogram.value_at_quantile(0.5),
+        p99: histogram.value_at_quantile(0.99),
+        max: values.iter().copied().max().unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/verdict/summary.rs
@@ -0,0 +1,124 @@
+//! The one line that a run ends with.
+
+use std::fmt;
+
+use super::Breach;
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Deployment that ran.
+    pub deployment: String,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Requests that callers made, retries by callers not counted.
+    pub requests: u64,
+    /// Requests that were answered whole and in time.
+    pub served: u64,
+    /// Attempts that were refused and not run.
+    pub refused: u64,
+    /// Attempts whose fate the caller does not know.
+    pub unknown: u64,
+    /// Median time of short requests, in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile of the time of short requests, in microseconds.
+    pub p99_us: u64,
+    /// Weight of the requests answered in time, in percent of all weight.
+    pub weight_percent: u64,
+    /// Overlapping runs for one key on two backend servers.
+    pub wrong_owner: u64,
+    /// Identifiers that ran more than once.
+    pub double_run: u64,
+    /// Attempts answered "not run" that ran.
+    pub false_not_run: u64,
+    /// Answers marked as whole that are not.
+    pub broken_answers: u64,
+    /// Configurations that went back or came too late.
+    pub config_reverts: u64,
+    /// Groups whose owner fell back.
+    pub lost_assignments: u64,
+    /// Longest covered gap, in milliseconds.
+    pub unavailable_ms_max: u64,
+    /// Longest gap that no promise covers, in milliseconds.
+    pub uncovered_ms_max: u64,
+    /// Backend servers that the worst poison request took down.
+    pub poison_kills_max: u64,
+    /// Backend servers over their slots.
+    pub over_slots: u64,
+    /// Samples of backend servers over their connections.
+    pub over_connections: u64,
+    /// Latest new work on a leaving backend server, in milliseconds after its drain.
+    pub leaver_new_work_ms: u64,
+    /// Requests cut by a graceful end.
+    pub cut_requests: u64,
+    /// Violations of the program's own invariants.
+    pub invariants: u64,
+    /// Faults that were injected.
+    pub faults: u64,
+    /// Faults that could not be injected.
+    pub faults_failed: u64,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "deployment={} seed={}", self.deployment, self.seed)?;
+        for (name, value) in self.figures() {
+            write!(f, " {name}={value}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Summary {
+    /// Returns each figure with its name.
+    #[must_use]
+    pub fn figures(&self) -> [(&'static str, u64); 24] {
+        [
+            ("requests", self.requests),
+            ("served", self.served),
+            ("refused", self.refused),
+            ("unknown", self.unknown),
+            ("p50_us", self.p50_us),
+            ("p99_us", self.p99_us),
+            ("weight_percent", self.weight_percent),
+            ("wrong_owner", self.wrong_owner),
+            ("double_run", self.double_run),
+            ("false_not_run", self.false_not_run),
+            ("broken_answers", self.broken_answers),
+            ("config_reverts", self.config_reverts),
+            ("lost_assignments", self.lost_assignments),
+            ("unavailable_ms_max", self.unavailable_ms_max),
+            ("uncovered_ms_max", self.uncovered_ms_max),
+            ("poison_kills_max", self.poison_kills_max),
+            ("over_slots", self.over_slots),
+            ("over_connections", self.over_connections),
+            ("leaver_new_work_ms", self.leaver_new_work_ms),
+            ("cut_requests", self.cut_requests),
+            ("invariants", self.invariants),
+            ("faults", self.faults),
+            ("faults_failed", self.faults_failed),
+            ("breaches", self.breach_total()),
+        ]
+    }
+
+    /// Returns the number of breaches of all kinds that are counted one by one.
+    #[must_use]
+    pub fn breach_total(&self) -> u64 {
+        self.wrong_owner
+            + self.double_run
+            + self.false_not_run
+            + self.broken_answers
+            + self.config_reverts
+            + self.lost_assignments
+            + self.over_slots
+            + self.over_connections
+            + self.cut_requests
+            + self.invariants
+    }
+}
+
+/// Returns the breach that shows first.
+#[must_use]
+pub fn first(breaches: &[Breach]) -> Option<&Breach> {
+    breaches.iter().min_by_key(|breach| breach.at_us)
+}
