Put load, probes and samples on a system of processes

Cause: runs need callers, a balancer, probes and samples of the hosts' state. Change: deployments, claimed port blocks, child processes ended by id, open-loop load with skewed keys, attempts checked byte by byte, probes of fixed keys, samples of status, owners, events and connections, and the command lines.

--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,4 @@
+//! The processes of a run.
+
+pub mod child;
+pub mod port;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,8 +4,15 @@
 //! process for each host on loopback, puts load on them, injects faults and judges the promises
 //! from the backend servers' records and the callers' log.
 
+pub mod client;
 pub mod clock;
+pub mod deployment;
 pub mod error;
 pub mod faults;
+pub mod fleet;
+pub mod load;
+pub mod observe;
+pub mod options;
+pub mod probe;
 pub mod trace;
 pub mod verdict;
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -111,21 +111,24 @@
 }
 
 /// Ends each run without an end when its process ended.
+///
+/// A process may start work for a moment after the time of its kill was noted; such a run ends
+/// when it starts.
 pub fn close(works: &mut [Work], lives: &[Life]) {
     let mut by_backend: BTreeMap<&str, Vec<&Life>> = BTreeMap::new();
     for life in lives {
         by_backend.entry(&life.backend).or_default().push(life);
     }
     for work in works.iter_mut().filter(|work| work.end_us.is_none()) {
-        let life = by_backend
-            .get(work.backend.as_str())
-            .and_then(|lives| lives.iter().find(|life| covers(life, work.start_us)));
+        let lives = by_backend.get(work.backend.as_str());
+        let life = lives.and_then(|lives| latest(lives, work.start_us));
         work.end_us = life.map(|life| life.to_us.max(work.start_us));
     }
 }
 
-fn covers(life: &Life, at_us: u64) -> bool {
-    life.from_us <= at_us && at_us <= life.to_us
+fn latest<'a>(lives: &[&'a Life], at_us: u64) -> Option<&'a Life> {
+    let begun = lives.iter().filter(|life| life.from_us <= at_us);
+    begun.max_by_key(|life| life.from_us).copied()
 }
 
 /// What became of a caller's attempt, as the caller saw it.
