--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,271 @@
+//! Memory of non-idempotent requests, so that none is run twice.
+//!
+//! An identifier is either remembered or lies before the horizon, where it is never run. The
+//! horizon is replicated with the entries, so leaders whose clocks differ agree on it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::identifier;
+
+/// Time for which an identifier is remembered, by its own time.
+pub const RETENTION: Duration = Duration::from_mins(15);
+
+/// Greatest difference between the clocks of a caller and of a leader that is tolerated.
+pub const CLOCK_SKEW: Duration = Duration::from_secs(5);
+
+/// Identifiers remembered at most, unless told otherwise.
+pub const CAPACITY: usize = 262_144;
+
+/// Bytes that one remembered identifier takes on average in a tree of the standard library.
+const ENTRY_BYTES: usize = 48;
+
+/// What is known of a request before it is dispatched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Never dispatched, or proven not run: may be dispatched.
+    Fresh,
+    /// Dispatched and not ended.
+    Running,
+    /// Run; the first answer had this status.
+    Done {
+        /// HTTP status of the first answer.
+        status: u16,
+    },
+    /// May have been run.
+    Unknown,
+    /// The identifier was used for another request.
+    Mismatch,
+    /// Older than the memory: may have been run, must not be run.
+    BeyondMemory,
+    /// The identifier's time is later than clocks can differ.
+    FromFuture,
+    /// The identifier is no UUID of version 7.
+    NotTimed,
+    /// The memory is full; not run.
+    Overloaded,
+}
+
+/// One change of the ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Entry {
+    /// A request is about to be dispatched.
+    Dispatched {
+        /// Identifier.
+        id: u128,
+        /// Fingerprint of the request.
+        fingerprint: u64,
+        /// Time of the dispatch in milliseconds since the Unix epoch.
+        at: u64,
+    },
+    /// A request was answered by a backend server that ran it.
+    Finished {
+        /// Identifier.
+        id: u128,
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The fate of a dispatched request will not be known.
+    Unresolved {
+        /// Identifier.
+        id: u128,
+    },
+    /// A dispatched request is proven not to have been run and never to be; it may be sent again.
+    NotRun {
+        /// Identifier.
+        id: u128,
+    },
+    /// A new reign begins: requests that the previous leader left running are unresolved.
+    Reign,
+    /// Memory was lost: identifiers up to this time, and [`CLOCK_SKEW`] more, are not remembered.
+    Horizon {
+        /// Milliseconds since the Unix epoch.
+        at: u64,
+    },
+    /// Identifiers of an earlier time are to be forgotten; see [`Ledger::expiry`].
+    Expire {
+        /// Milliseconds since the Unix epoch.
+        before: u64,
+    },
+}
+
+/// How far a remembered request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    Running,
+    Unresolved,
+    Done { status: u16 },
+}
+
+/// A remembered request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Request {
+    pub fingerprint: u64,
+    pub progress: Progress,
+}
+
+/// Memory of non-idempotent requests by their identifier.
+///
+/// ```
+/// use tarragon_ledger::ledger::{Entry, Ledger, Verdict};
+///
+/// let id = 0x0190_0000_0000_7000_8000_0000_0000_0001;
+/// let now = 0x0190_0000_0000;
+/// let mut ledger = Ledger::default();
+/// assert_eq!(ledger.check(now, id, 7), Verdict::Fresh);
+/// ledger.apply(&Entry::Dispatched { id, fingerprint: 7, at: now });
+/// assert_eq!(ledger.check(now, id, 7), Verdict::Running);
+/// ledger.apply(&Entry::Finished { id, status: 200 });
+/// assert_eq!(ledger.check(now, id, 7), Verdict::Done { status: 200 });
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Identifiers of an earlier time may have been forgotten, in milliseconds.
+    horizon: u64,
+    capacity: usize,
+    #[serde(with = "crate::rows")]
+    requests: BTreeMap<u128, Request>,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self::new(CAPACITY)
+    }
+}
+
+impl Ledger {
+    /// Creates an empty ledger that admits no new request while it holds `capacity` identifiers.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            horizon: 0,
+            capacity,
+            requests: BTreeMap::new(),
+        }
+    }
+
+    /// Tells what is known of a request; `now_unix_ms` is the leader's wall clock.
+    #[must_use]
+    pub fn check(&self, now_unix_ms: u64, id: u128, fingerprint: u64) -> Verdict {
+        let Some(time) = identifier::unix_ms(id) else {
+            return Verdict::NotTimed;
+        };
+        if let Some(request) = self.requests.get(&id) {
+            return request.verdict(fingerprint);
+        }
+        if time < self.horizon.max(Self::expiry(now_unix_ms)) {
+            return Verdict::BeyondMemory;
+        }
+        if time > now_unix_ms.saturating_add(millis(CLOCK_SKEW)) {
+            return Verdict::FromFuture;
+        }
+        if self.requests.len() >= self.capacity {
+            return Verdict::Overloaded;
+        }
+        Verdict::Fresh
+    }
+
+    /// Applies one change. Changes of requests that are not remembered have no effect.
+    pub fn apply(&mut self, entry: &Entry) {
+        match *entry {
+            Entry::Dispatched {
+                id, fingerprint, ..
+            } => self.dispatch(id, fingerprint),
+            Entry::Finished { id, status } => self.resolve(id, Progress::Done { status }),
+            Entry::Unresolved { id } => self.resolve(id, Progress::Unresolved),
+            Entry::NotRun { id } => self.remove(id),
+            Entry::Reign => self.resolve_all(),
+            Entry::Horizon { at } => self.expire(at.saturating_add(millis(CLOCK_SKEW))),
+            Entry::Expire { before } => self.expire(before),
+        }
+    }
+
+    fn dispatch(&mut self, id: u128, fingerprint: u64) {
+        let request = Request {
+            fingerprint,
+            progress: Progress::Running,
+        };
+        self.requests.entry(id).or_insert(request);
+    }
+
+    /// Ends a request, unless its answer is known already.
+    fn resolve(&mut self, id: u128, progress: Progress) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && !matches!(request.progress, Progress::Done { .. })
+        {
+            request.progress = progress;
+        }
+    }
+
+    fn resolve_all(&mut self) {
+        for request in self.requests.values_mut() {
+            if request.progress == Progress::Running {
+                request.progress = Progress::Unresolved;
+            }
+        }
+    }
+
+    fn remove(&mut self, id: u128) {
+        let done = |request: &Request| matches!(request.progress, Progress::Done { .. });
+        if !self.requests.get(&id).is_some_and(done) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn expire(&mut self, before: u64) {
+        if before > self.horizon {
+            self.horizon = before;
+            self.requests = self.requests.split_off(&identifier::least(before));
+        }
+    }
+
+    /// Returns the `before` of the [`Entry::Expire`] that is due, in milliseconds.
+    #[must_use]
+    pub fn expiry(now_unix_ms: u64) -> u64 {
+        now_unix_ms.saturating_sub(millis(RETENTION))
+    }
+
+    /// Returns the time before which identifiers may have been forgotten, in milliseconds.
+    #[must_use]
+    pub fn horizon(&self) -> u64 {
+        self.horizon
+    }
+
+    /// Returns the number of identifiers remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Tells whether no identifier is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Returns an estimate of the memory used, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        size_of::<Self>() + self.requests.len() * ENTRY_BYTES
+    }
+}
+
+impl Request {
+    fn verdict(&self, fingerprint: u64) -> Verdict {
+        if self.fingerprint != fingerprint {
+            return Verdict::Mismatch;
+        }
+        match self.progress {
+            Progress::Running => Verdict::Running,
+            Progress::Unresolved => Verdict::Unknown,
+            Progress::Done { status } => Verdict::Done { status },
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
