Add the policy crate: scheduler, placement, speeds and retry budget

One process sends to a shard's backend servers, so the scheduler counts locally and takes the time as an argument. Admission, choice and placement are trait objects that register by name, each with its baseline.

Ruled out: choosing a server for a request without owner on arrival, as balancers do; the one sender can leave it in a common queue until a slot is free. The baselines still bind on arrival.

--- /dev/null
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -0,0 +1,101 @@
+//! Dispatch: which waiting request takes a free slot.
+
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
+use tarragon_model::key;
+use tarragon_model::outcome::Reason;
+use tarragon_model::time::Instant;
+
+use super::queue::Position;
+use super::server::Run;
+use super::{Action, Scheduler, Waiting};
+use crate::choice;
+
+impl Scheduler {
+    /// Refuses what has waited as long as it may.
+    pub(super) fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while let Some((at, id)) = self.expiries.first().copied() {
+            if at > now {
+                return;
+            }
+            self.dequeue(id);
+            let reason = Reason::Deadline;
+            actions.push(Action::Refuse { id, reason });
+        }
+    }
+
+    /// Starts work of the common queue while a server has a slot for it.
+    pub(super) fn start_common(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while self.common.len() > 0 {
+            let free = self.candidates(|server| server.free(now, self.slots) > 0);
+            let first = self.common.first(|kind| {
+                free.iter()
+                    .any(|server| self.is_eligible(now, server.backend, kind))
+            });
+            let Some((kind, position)) = first else {
+                return;
+            };
+            let fit: SmallVec<[choice::Candidate; 8]> = free
+                .into_iter()
+                .filter(|server| self.is_eligible(now, server.backend, kind))
+                .collect();
+            let backend = self.choice.choose(key_of(&self.waiting, position), &fit);
+            let owned = self.first_owned(now, backend);
+            let next = owned.map_or(position, |owned| owned.min(position));
+            self.start(now, next.id, backend, actions);
+        }
+    }
+
+    /// Returns the first request that may start in the queue of a backend server.
+    pub(super) fn first_owned(&self, now: Instant, backend: u16) -> Option<Position> {
+        let server = self.server(backend)?;
+        if server.queue.len() == 0 || server.free(now, self.slots) == 0 {
+            return None;
+        }
+        server
+            .queue
+            .first(|kind| self.is_eligible(now, backend, kind))
+            .map(|(_, position)| position)
+    }
+
+    /// Starts a waiting request.
+    pub(super) fn start(&mut self, now: Instant, id: u64, backend: u16, actions: &mut Vec<Action>) {
+        let Some(waiting) = self.dequeue(id) else {
+            return;
+        };
+        self.check_start(backend);
+        let request = waiting.request;
+        let run = Run {
+            id,
+            started: now,
+            long_from: self.long_from(now, &request, waiting.kind, backend),
+            class: request.class,
+            key: request.key,
+            group: request.group,
+            alone: request.alone,
+        };
+        self.servers[usize::from(backend)].runs.push(run);
+        self.running.insert(id, backend);
+        self.running_alone += usize::from(request.alone);
+        actions.push(Action::Start { id, backend });
+    }
+
+    /// Counts broken invariants before a start.
+    fn check_start(&mut self, backend: u16) {
+        let server = &self.servers[usize::from(backend)];
+        let full = server.runs.len() + server.foreign >= self.hard_slots;
+        let stopped = !server.state.takes_work();
+        self.violations.slots += u64::from(full);
+        self.violations.stopped += u64::from(stopped);
+        debug_assert!(!full, "no slot is free on server {backend}");
+        debug_assert!(!stopped, "server {backend} takes no work");
+    }
+}
+
+/// Returns the key of a waiting request.
+fn key_of(waiting: &HashMap<u64, Waiting>, position: Position) -> key::Hash {
+    waiting
+        .get(&position.id)
+        .map_or(key::Hash(0), |waiting| waiting.request.key)
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/queue.rs
@@ -0,0 +1,204 @@
+//! Queue of waiting requests, ordered within lanes that are eligible or not as a whole.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use tarragon_model::time::Instant;
+
+use crate::admission::Rank;
+
+/// Time over which arrivals are averaged.
+const INFLOW_WINDOW: Duration = Duration::from_millis(500);
+/// Levels of arrivals that are kept apart; the busiest stay.
+const MAX_LEVELS: usize = 32;
+
+/// What decides whether a waiting request may start, apart from its order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Kind {
+    /// Index of the class.
+    pub(super) class: u8,
+    /// Whether the work is likely to be long.
+    pub(super) long: bool,
+    /// Whether no other such request may run in the shard.
+    pub(super) alone: bool,
+}
+
+/// Place of a request in the order; smaller starts first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Position {
+    /// Order that the policy gave.
+    pub(super) rank: Rank,
+    /// Number of the arrival, which breaks ties.
+    pub(super) sequence: u64,
+    /// Identifier of the request.
+    pub(super) id: u64,
+}
+
+/// Waiting requests of one backend server or of all.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    lanes: SmallVec<[Lane; 4]>,
+    inflow: SmallVec<[Inflow; 8]>,
+    len: usize,
+}
+
+/// Waiting requests of one kind.
+#[derive(Debug)]
+struct Lane {
+    kind: Kind,
+    positions: BTreeSet<Position>,
+    work: SmallVec<[Work; 4]>,
+}
+
+/// Waiting work of one level.
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    level: i32,
+    total: Duration,
+}
+
+/// Arriving work of one level, as a sum that decays over [`INFLOW_WINDOW`].
+#[derive(Clone, Copy, Debug)]
+struct Inflow {
+    level: i32,
+    seconds: f64,
+    updated: Instant,
+}
+
+impl Queue {
+    /// Adds a request whose expected work is `work`.
+    pub(super) fn insert(&mut self, kind: Kind, position: Position, work: Duration) {
+        let index = self.lanes.iter().position(|lane| lane.kind == kind);
+        let index = index.unwrap_or_else(|| {
+            self.lanes.push(Lane::new(kind));
+            self.lanes.len() - 1
+        });
+        self.lanes[index].insert(position, work);
+        self.len += 1;
+    }
+
+    /// Removes a request that was added with the same arguments.
+    pub(super) fn remove(&mut self, kind: Kind, position: Position, work: Duration) {
+        let lane = self.lanes.iter_mut().find(|lane| lane.kind == kind);
+        if lane.is_some_and(|lane| lane.remove(position, work)) {
+            self.len -= 1;
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns the number of waiting requests of the kinds that may start.
+    pub(super) fn len_of(&self, eligible: impl Fn(Kind) -> bool) -> usize {
+        self.lanes
+            .iter()
+            .filter(|lane| eligible(lane.kind))
+            .map(|lane| lane.positions.len())
+            .sum()
+    }
+
+    /// Returns the first request, in order, of the kinds that may start.
+    pub(super) fn first(&self, eligible: impl Fn(Kind) -> bool) -> Option<(Kind, Position)> {
+        self.lanes
+            .iter()
+            .filter_map(|lane| Some((lane.kind, *lane.positions.first()?)))
+            .filter(|(kind, _)| eligible(*kind))
+            .min_by_key(|(_, position)| *position)
+    }
+
+    /// Returns the waiting work of the kinds given, up to a level and with it.
+    pub(super) fn ahead(&self, level: i32, counts: impl Fn(Kind) -> bool) -> Duration {
+        self.lanes
+            .iter()
+            .filter(|lane| counts(lane.kind))
+            .flat_map(|lane| &lane.work)
+            .filter(|work| work.level <= level)
+            .map(|work| work.total)
+            .sum()
+    }
+
+    /// Records work that was admitted.
+    pub(super) fn record_inflow(&mut self, now: Instant, level: i32, work: Duration) {
+        let index = self.inflow.iter().position(|inflow| inflow.level == level);
+        let index = index.unwrap_or_else(|| {
+            self.drop_least_inflow(now);
+            self.inflow.push(Inflow::new(now, level));
+            self.inflow.len() - 1
+        });
+        let inflow = &mut self.inflow[index];
+        inflow.seconds = inflow.decayed(now) + work.as_secs_f64();
+        inflow.updated = now;
+    }
+
+    /// Returns the work of smaller levels that arrives, in seconds of work a second.
+    pub(super) fn inflow_before(&self, now: Instant, level: i32) -> f64 {
+        let seconds: f64 = self
+            .inflow
+            .iter()
+            .filter(|inflow| inflow.level < level)
+            .map(|inflow| inflow.decayed(now))
+            .sum();
+        seconds / INFLOW_WINDOW.as_secs_f64()
+    }
+
+    /// Makes room for one more level of arrivals.
+    fn drop_least_inflow(&mut self, now: Instant) {
+        if self.inflow.len() < MAX_LEVELS {
+            return;
+        }
+        let rates = self.inflow.iter().map(|inflow| inflow.decayed(now));
+        let least = rates.enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
+        if let Some((index, _)) = least {
+            self.inflow.swap_remove(index);
+        }
+    }
+}
+
+impl Lane {
+    fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            positions: BTreeSet::new(),
+            work: SmallVec::new(),
+        }
+    }
+
+    fn insert(&mut self, position: Position, work: Duration) {
+        self.positions.insert(position);
+        let level = position.rank.level;
+        match self.work.iter_mut().find(|entry| entry.level == level) {
+            Some(entry) => entry.total += work,
+            None => self.work.push(Work { level, total: work }),
+        }
+    }
+
+    fn remove(&mut self, position: Position, work: Duration) -> bool {
+        if !self.positions.remove(&position) {
+            return false;
+        }
+        let level = position.rank.level;
+        if let Some(entry) = self.work.iter_mut().find(|entry| entry.level == level) {
+            entry.total = entry.total.saturating_sub(work);
+        }
+        self.work.retain(|entry| !entry.total.is_zero());
+        true
+    }
+}
+
+impl Inflow {
+    fn new(now: Instant, level: i32) -> Self {
+        Self {
+            level,
+            seconds: 0.0,
+            updated: now,
+        }
+    }
+
+    fn decayed(&self, now: Instant) -> f64 {
+        let age = now.since(self.updated).as_secs_f64();
+        self.seconds * (-age / INFLOW_WINDOW.as_secs_f64()).exp()
+    }
+}
