Decide and carry out: the node's state machine and the router's duties

Cause: no program served a request. Ruled out: decisions inside I/O tasks, which no test could interleave. Change: tarragon-node decides on inputs, tarragon-router carries outputs out on one thread a duty.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -87,11 +87,20 @@
     pub connections: u16,
     /// Deadline of a request that names none, in milliseconds.
     pub deadline_ms: u32,
+    /// Longest time that a backend server may go on with work whose connection is gone, in
+    /// milliseconds; it bounds how long the keys of such work wait for a new owner.
+    #[serde(default = "default_orphan_ms")]
+    pub orphan_ms: u32,
     /// Classes of work, matched in order; the last matches everything.
     #[serde(default)]
     pub classes: Vec<Class>,
 }
 
+/// Default of [`Service::orphan_ms`].
+fn default_orphan_ms() -> u32 {
+    60_000
+}
+
 impl Service {
     /// Returns the shard that a key group belongs to.
     ///
--- /dev/null
+++ b/crates/node/src/engine/crash.rs
@@ -0,0 +1,158 @@
+//! Finding out whether a broken connection was a crash, and which request to suspect.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use smallvec::SmallVec;
+use tarragon_ledger::quarantine;
+use tarragon_model::time::Instant;
+use tarragon_timeline::event::{Kind, Name};
+
+use super::{Engine, Log};
+use crate::input::Now;
+use crate::output::Output;
+use crate::state::Entry;
+
+/// Requests that are remembered as harmless.
+const PROVEN: usize = 8_192;
+/// Backend servers on which a request that never succeeded may run at the same time.
+const UNPROVEN_SPREAD: usize = 2;
+
+/// Connections to one backend server that broke, until it is known whether it crashed.
+#[derive(Debug)]
+pub(super) struct Trial {
+    since: Instant,
+    fingerprints: SmallVec<[u64; 6]>,
+    flights: SmallVec<[u64; 6]>,
+}
+
+/// Where requests that never succeeded run, so that one that crashes backend servers meets few.
+#[derive(Debug, Default)]
+pub(super) struct Spread {
+    running: HashMap<u64, SmallVec<[u16; 2]>>,
+    proven: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl Spread {
+    /// Returns a backend server to use instead, when the request already runs on enough others.
+    pub(super) fn instead(&self, fingerprint: u64, backend: u16) -> Option<u16> {
+        if self.proven.contains(&fingerprint) {
+            return None;
+        }
+        let running = self.running.get(&fingerprint)?;
+        let mut distinct: SmallVec<[u16; 4]> = running.iter().copied().collect();
+        distinct.sort_unstable();
+        distinct.dedup();
+        let full = distinct.len() >= UNPROVEN_SPREAD && !distinct.contains(&backend);
+        full.then(|| distinct[0])
+    }
+
+    /// Counts a request as running.
+    pub(super) fn enter(&mut self, fingerprint: u64, backend: u16) {
+        if !self.proven.contains(&fingerprint) {
+            self.running.entry(fingerprint).or_default().push(backend);
+        }
+    }
+
+    /// Counts a request as ended.
+    pub(super) fn leave(&mut self, fingerprint: u64, backend: u16) {
+        let Some(list) = self.running.get_mut(&fingerprint) else {
+            return;
+        };
+        if let Some(position) = list.iter().position(|one| *one == backend) {
+            list.swap_remove(position);
+        }
+        if list.is_empty() {
+            self.running.remove(&fingerprint);
+        }
+    }
+
+    /// Remembers that a request did no harm.
+    pub(super) fn prove(&mut self, fingerprint: u64) {
+        if !self.proven.insert(fingerprint) {
+            return;
+        }
+        self.order.push_back(fingerprint);
+        if self.order.len() > PROVEN {
+            if let Some(oldest) = self.order.pop_front() {
+                self.proven.remove(&oldest);
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// Holds a request whose connection broke until it is known whether the server crashed.
+    pub(super) fn put_on_trial(&mut self, now: Now, backend: u16, fingerprint: u64, id: Option<u64>) {
+        let trial = self.trials.entry(backend).or_insert_with(|| Trial {
+            since: now.at,
+            fingerprints: SmallVec::new(),
+            flights: SmallVec::new(),
+        });
+        trial.since = now.at;
+        trial.fingerprints.push(fingerprint);
+        trial.flights.extend(id);
+        if let Some(health) = self.health.get_mut(usize::from(backend)) {
+            health.hurry(now.at);
+        }
+    }
+
+    /// Tells whether a request is suspected of a crash that is not yet confirmed.
+    pub(super) fn is_on_trial(&self, fingerprint: u64) -> bool {
+        self.trials.values().any(|trial| trial.fingerprints.contains(&fingerprint))
+    }
+
+    /// The backend server answered a question asked at `asked`, so it did not crash before that.
+    pub(super) fn acquit(
+        &mut self,
+        now: Now,
+        backend: u16,
+        asked: Instant,
+        out: &mut Vec<Output>,
+        log: &mut Log<'_>,
+    ) {
+        if self.trials.get(&backend).is_some_and(|trial| asked > trial.since) {
+            if let Some(trial) = self.trials.remove(&backend) {
+                for fingerprint in &trial.fingerprints {
+                    self.suspect_stopped(now, *fingerprint, log);
+                }
+                self.release_trial(now, &trial, out, log);
+            }
+        }
+    }
+
+    /// The backend server crashed: suspects what ran there.
+    pub(super) fn convict(
+        &mut self,
+        now: Now,
+        backend: u16,
+        out: &mut Vec<Output>,
+        log: &mut Log<'_>,
+    ) {
+        let Some(trial) = self.trials.remove(&backend) else {
+            return;
+        };
+        let in_flight = trial.fingerprints.to_vec();
+        let entry = quarantine::Entry::Crashed { in_flight, at: now.unix_ms };
+        log.append(now.at, Entry::Quarantine(entry));
+        let health = &self.health[usize::from(backend)];
+        let draft = self
+            .event(Kind::BackendCrashed)
+            .with(Name::Backend, &health.id)
+            .with(Name::Count, trial.fingerprints.len());
+        out.push(Output::Event(draft));
+        self.release_trial(now, &trial, out, log);
+    }
+
+    fn release_trial(
+        &mut self,
+        now: Now,
+        trial: &Trial,
+        out: &mut Vec<Output>,
+        log: &mut Log<'_>,
+    ) {
+        for id in &trial.flights {
+            self.again(now, *id, out, log);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/writes.rs
@@ -0,0 +1,238 @@
+//! Updates of shards' records in the store.
+
+use std::time::Duration;
+
+use tarragon_lease::proposal::Fate;
+use tarragon_model::fence::Fence;
+use tarragon_model::record::{Record, Trio};
+use tarragon_model::shard;
+use tarragon_timeline::event::{Draft as Event, Kind, Name};
+
+use super::Node;
+use crate::input::{Now, Written};
+use crate::message::{Message, Stored};
+use crate::output::Output;
+use crate::persist::{Draft, Purpose, Update};
+use crate::slot::Asks;
+use crate::state::State;
+
+/// Pause before a failed update is tried again.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time between two updates that only keep changed owners.
+const OWNERS_EVERY: Duration = Duration::from_millis(200);
+
+impl Node {
+    /// Starts the update that the lease protocol asks for, after the one in progress if any.
+    pub(super) fn write_trio(
+        &mut self,
+        now: Now,
+        id: &shard::Id,
+        epoch: u64,
+        trio: Trio,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        if slot.update.is_some() {
+            slot.waiting = Some(trio);
+            return;
+        }
+        let fence = Fence::new(epoch, 0);
+        let state = self.state_of(id).cloned().unwrap_or_default();
+        self.start_update(now, id, Purpose::Trio(trio.clone()), (fence, &trio, &state), out);
+    }
+
+    /// Writes the record of a shard that has none, or whose trio is all gone.
+    pub(super) fn write_new(
+        &mut self,
+        now: Now,
+        id: &shard::Id,
+        trio: &Trio,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(slot) = self.slots.get(id) else {
+            return;
+        };
+        let fence = Fence::new(slot.epoch() + 1, 0);
+        let state = slot.record.as_ref().map_or_else(State::default, |record| {
+            State::from_record(record, slot.groups.0, slot.groups.1, now.unix_ms)
+        });
+        self.start_update(now, id, Purpose::Create, (fence, trio, &state), out);
+    }
+
+    /// Writes changed owners, if any.
+    pub(super) fn write_owners(&mut self, now: Now, id: &shard::Id, out: &mut Vec<Output>) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        if slot.update.is_some() || now.at < slot.next_write || !slot.is_acting(now.at) {
+            return;
+        }
+        let (Some(engine), Some(record)) = (&mut slot.engine, &slot.record) else {
+            return;
+        };
+        if !engine.take_dirty() {
+            return;
+        }
+        slot.next_write = now.at + OWNERS_EVERY;
+        let trio = record.trio.clone();
+        let Some(member) = &slot.member else {
+            return;
+        };
+        let (fence, state) = (member.fence(), member.state().clone());
+        self.start_update(now, id, Purpose::Owners, (fence, &trio, &state), out);
+    }
+
+    fn start_update(
+        &mut self,
+        _now: Now,
+        id: &shard::Id,
+        purpose: Purpose,
+        (fence, trio, state): (Fence, &Trio, &State),
+        out: &mut Vec<Output>,
+    ) {
+        self.updates += 1;
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        let writer = &self.settings.me;
+        let draft = Draft { writer, number: self.updates, first_group: slot.groups.0 };
+        let record = draft.record(fence.epoch, fence, trio, state);
+        slot.update = Some(Update { purpose, record: record.clone() });
+        let (shard, if_version) = (id.clone(), slot.version);
+        out.push(Output::Write { shard, if_version, record: Box::new(record) });
+    }
+
+    /// Takes in how an update ended.
+    pub(super) fn written(
+        &mut self,
+        now: Now,
+        id: &shard::Id,
+        result: Written,
+        out: &mut Vec<Output>,
+    ) {
+        match result {
+            Written::Won { version } => self.update_won(now, id, version, out),
+            Written::Lost { version, record } => {
+                self.update_lost(now, id, version, record.as_deref(), out);
+            }
+            Written::Failed => self.update_failed(now, id),
+            Written::Unfinished => {
+                let event = Event::new(Kind::TrioChangeLost).with(Name::Shard, id);
+                out.push(Output::Event(event.with(Name::Reason, "fate unknown")));
+            }
+        }
+        self.start_waiting(now, id, out);
+    }
+
+    fn update_won(&mut self, now: Now, id: &shard::Id, version: u64, out: &mut Vec<Output>) {
+        let me = self.settings.me.clone();
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        let Some(update) = slot.update.clone() else {
+            return;
+        };
+        let mut asks = Asks::new();
+        slot.won(now, &me, version, &mut asks);
+        if update.purpose != Purpose::Owners {
+            self.announce(id, version, &update.record, out);
+        }
+        self.carry_out(now, id, asks, out);
+        self.entered(now, id, out);
+    }
+
+    /// Tells the members of a new trio, and of the one before, of their record.
+    fn announce(&self, id: &shard::Id, version: u64, record: &Record, out: &mut Vec<Output>) {
+        let event = Event::new(Kind::TrioChanged)
+            .with(Name::Shard, id)
+            .with(Name::Fence, record.fence)
+            .with(Name::Detail, trio_text(&record.trio));
+        out.push(Output::Event(event));
+        let stored = Stored { shard: id.clone(), version, record: record.clone() };
+        for known in self.members.all() {
+            let to = known.entry.peer_addr;
+            out.push(Output::Send { to, message: Message::Record(stored.clone()) });
+        }
+    }
+
+    fn update_lost(
+        &mut self,
+        now: Now,
+        id: &shard::Id,
+        version: u64,
+        record: Option<&Record>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        let Some(update) = slot.update.take() else {
+            return;
+        };
+        if update.purpose == Purpose::Owners {
+            if let Some(engine) = &mut slot.engine {
+                engine.mark_dirty();
+            }
+        }
+        let Some(record) = record else {
+            slot.next_write = now.at + RETRY_AFTER;
+            slot.next_repair = now.at + RETRY_AFTER;
+            if let Purpose::Trio(trio) = update.purpose {
+                slot.waiting = Some(trio);
+            }
+            return;
+        };
+        let same_epoch = record.epoch + 1 == update.record.epoch;
+        if let (Purpose::Trio(trio), true) = (&update.purpose, same_epoch) {
+            slot.version = version.max(slot.version);
+            slot.waiting = Some(trio.clone());
+            return;
+        }
+        let mut asks = Asks::new();
+        if let (Purpose::Trio(_), Some(member)) = (&update.purpose, &mut slot.member) {
+            member.written(now.at, Fate::Lost(record), &mut asks);
+        }
+        self.carry_out(now, id, asks, out);
+        self.learn(now, id, version, record, out);
+    }
+
+    fn update_failed(&mut self, now: Now, id: &shard::Id) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        slot.next_write = now.at + RETRY_AFTER;
+        match slot.update.take().map(|update| update.purpose) {
+            Some(Purpose::Owners) => {
+                if let Some(engine) = &mut slot.engine {
+                    engine.mark_dirty();
+                }
+            }
+            Some(Purpose::Trio(trio)) => slot.waiting = Some(trio),
+            Some(Purpose::Create) | None => {}
+        }
+    }
+
+    /// Starts the change of the trio that waited for another update, if it is still wanted.
+    pub(super) fn start_waiting(&mut self, now: Now, id: &shard::Id, out: &mut Vec<Output>) {
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        if slot.update.is_some() || now.at < slot.next_write {
+            return;
+        }
+        let Some(trio) = slot.waiting.take() else {
+            return;
+        };
+        if slot.member.as_ref().is_some_and(tarragon_lease::Member::is_proposing) {
+            let epoch = slot.epoch() + 1;
+            self.write_trio(now, id, epoch, trio, out);
+        }
+    }
+}
+
+/// Returns the names of a trio's processes.
+pub(super) fn trio_text(trio: &Trio) -> String {
+    format!("{} {} {}", trio.leader, trio.first, trio.second)
+}
--- /dev/null
+++ b/crates/node/src/occupancy.rs
@@ -0,0 +1,104 @@
+//! Which keys have work on which backend server.
+//!
+//! A key may run on a new owner only after all its work on the earlier one has ended. Only the
+//! shard's leader sends work, so counting what it sent and has not seen ended is enough. Work
+//! whose connection broke stays counted as an orphan until its end is proven.
+
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
+use tarragon_model::key;
+use tarragon_model::time::Instant;
+
+/// Work of one key on one backend server.
+#[derive(Clone, Debug)]
+struct Occupant {
+    backend: u16,
+    running: u32,
+    orphans: u32,
+    orphaned_at: Instant,
+}
+
+/// All keys with work that may still run.
+#[derive(Debug, Default)]
+pub struct Occupancy {
+    keys: HashMap<key::Hash, SmallVec<[Occupant; 1]>>,
+}
+
+impl Occupancy {
+    /// Counts a request of the key as running.
+    pub fn enter(&mut self, key: key::Hash, backend: u16) {
+        self.occupant(key, backend).running += 1;
+    }
+
+    /// Counts a running request of the key as ended.
+    pub fn leave(&mut self, key: key::Hash, backend: u16) {
+        let occupant = self.occupant(key, backend);
+        occupant.running = occupant.running.saturating_sub(1);
+        self.prune(key);
+    }
+
+    /// Counts a running request of the key as an orphan: its connection is gone, its work may run.
+    pub fn orphan(&mut self, key: key::Hash, backend: u16, now: Instant) {
+        let occupant = self.occupant(key, backend);
+        occupant.running = occupant.running.saturating_sub(1);
+        occupant.orphans += 1;
+        occupant.orphaned_at = now;
+    }
+
+    /// Forgets all orphans on a backend server whose work is proven ended.
+    pub fn clear_orphans(&mut self, backend: u16) {
+        self.clear_orphans_before(backend, None);
+    }
+
+    /// Forgets the orphans on a backend server that are older than `before`.
+    pub fn clear_old_orphans(&mut self, backend: u16, before: Instant) {
+        self.clear_orphans_before(backend, Some(before));
+    }
+
+    /// Tells whether work of the key may run on any backend server but `owner`.
+    #[must_use]
+    pub fn is_elsewhere(&self, key: key::Hash, owner: u16) -> bool {
+        let occupants = self.keys.get(&key);
+        occupants.is_some_and(|list| list.iter().any(|one| one.backend != owner))
+    }
+
+    /// Counts the keys with orphans on a backend server.
+    #[must_use]
+    pub fn orphaned_keys(&self, backend: u16) -> usize {
+        let has = |one: &Occupant| one.backend == backend && one.orphans > 0;
+        self.keys.values().filter(|list| list.iter().any(has)).count()
+    }
+
+    fn occupant(&mut self, key: key::Hash, backend: u16) -> &mut Occupant {
+        let list = self.keys.entry(key).or_default();
+        let position = list.iter().position(|one| one.backend == backend);
+        let position = position.unwrap_or_else(|| {
+            list.push(Occupant { backend, running: 0, orphans: 0, orphaned_at: Instant::ZERO });
+            list.len() - 1
+        });
+        &mut list[position]
+    }
+
+    fn clear_orphans_before(&mut self, backend: u16, before: Option<Instant>) {
+        self.keys.retain(|_, list| {
+            for one in list.iter_mut().filter(|one| one.backend == backend) {
+                if before.is_none_or(|limit| one.orphaned_at < limit) {
+                    one.orphans = 0;
+                }
+            }
+            list.retain(|one| one.running + one.orphans > 0);
+            !list.is_empty()
+        });
+    }
+
+    fn prune(&mut self, key: key::Hash) {
+        let Some(list) = self.keys.get_mut(&key) else {
+            return;
+        };
+        list.retain(|one| one.running + one.orphans > 0);
+        if list.is_empty() {
+            self.keys.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/admin.rs
@@ -0,0 +1,139 @@
+//! The operators' port: health, metrics, events and explanations.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use rustix::process::{Signal, getpid, kill_process};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep};
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::backend::value;
+use crate::control::{Command, Question};
+use crate::kernel::{Duty, Work};
+use crate::server::{self, Handler, Limits};
+use crate::shared::Shared;
+
+/// Header fields that a request may have.
+const MAX_HEADERS: usize = 64;
+/// Events returned by one call, at most.
+const MAX_EVENTS: usize = 5_000;
+/// Longest wait for events, in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+/// Pause between two looks for new events.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+inventory::submit!(Duty { name: "operators", threads: 1, start });
+
+fn start(shared: Shared) -> Work {
+    Box::pin(async move {
+        let addr = shared.settings.admin_addr;
+        let (close, stop) = (shared.close.clone(), shared.stop.clone());
+        server::serve(addr, Limits { headers: MAX_HEADERS }, Admin { shared }, close, stop).await
+    })
+}
+
+#[derive(Clone)]
+struct Admin {
+    shared: Shared,
+}
+
+impl Handler for Admin {
+    async fn handle(&self, request: Request) -> Response {
+        let uri = request.uri().clone();
+        match (request.method(), uri.path()) {
+            (&Method::GET, "/healthz") => text(StatusCode::OK, "alive\n"),
+            (&Method::GET, "/readyz") => self.ready(),
+            (&Method::GET, "/metrics") => self.metrics(),
+            (&Method::GET, "/events") => json_answer(&self.events(uri.query()).await),
+            (&Method::GET, "/shards") => self.ask(Question::Shards).await,
+            (&Method::GET, "/status") => self.ask(Question::Status).await,
+            (&Method::GET, "/explain") => self.explain(uri.query()).await,
+            (&Method::POST, "/drain") => self.drain(),
+            _ => text(StatusCode::NOT_FOUND, "no such page\n"),
+        }
+    }
+}
+
+impl Admin {
+    fn ready(&self) -> Response {
+        let ready = self.shared.view.borrow().ready && !self.shared.drain.is_cancelled();
+        if ready {
+            return text(StatusCode::OK, "ready\n");
+        }
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+
+    fn metrics(&self) -> Response {
+        let mut response = Response::new(Body::from(self.shared.metrics.text()));
+        let kind = value("text/plain; version=0.0.4");
+        response.headers_mut().insert("content-type", kind);
+        response
+    }
+
+    fn drain(&self) -> Response {
+        if let Err(error) = kill_process(getpid(), Signal::TERM) {
+            log::error!("event=drain-failed step=signal error=\"{error}\"");
+        }
+        text(StatusCode::ACCEPTED, "draining\n")
+    }
+
+    async fn explain(&self, query: Option<&str>) -> Response {
+        let (Some(service), Some(key)) = (field(query, "service"), field(query, "key")) else {
+            return text(StatusCode::BAD_REQUEST, "give service=NAME and key=KEY\n");
+        };
+        self.ask(Question::Explain { service, key }).await
+    }
+
+    async fn ask(&self, question: Question) -> Response {
+        let (answer, reply) = oneshot::channel();
+        let asked = self.shared.control.send(Command::Ask { question, answer }).await;
+        match (asked, reply.await) {
+            (Ok(()), Ok(value)) => json_answer(&value),
+            _ => text(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping\n"),
+        }
+    }
+
+    async fn events(&self, query: Option<&str>) -> Value {
+        let number = |name| field(query, name).and_then(|text| text.parse::<u64>().ok());
+        let after = number("after").unwrap_or(0);
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(MAX_WAIT_MS));
+        let until = Instant::now() + wait;
+        loop {
+            let (events, next) = {
+                let journal = self.shared.journal.lock();
+                let journal = journal.unwrap_or_else(std::sync::PoisonError::into_inner);
+                journal.after(after, MAX_EVENTS)
+            };
+            if !events.is_empty() || Instant::now() >= until {
+                return json!({ "host": self.shared.me.host, "next": next, "events": events });
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+/// Returns the value of a query field.
+fn field(query: Option<&str>, name: &str) -> Option<String> {
+    query?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(field, _)| *field == name)
+        .map(|(_, value)| value.to_owned())
+}
+
+fn text(status: StatusCode, text: &'static str) -> Response {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response
+}
+
+fn json_answer(value: &Value) -> Response {
+    let mut response = Response::new(Body::from(value.to_string()));
+    let kind = crate::backend::value("application/json");
+    response.headers_mut().insert("content-type", kind);
+    response
+}
--- /dev/null
+++ b/crates/router/src/cli.rs
@@ -0,0 +1,141 @@
+//! Command line of the router.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use getopts::Options;
+use tarragon_model::host::Peer;
+use tarragon_model::settings;
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::unix_micros;
+use crate::control;
+use crate::error::Error;
+use crate::flaw::Flaw;
+use crate::kernel;
+use crate::shared::{Parts, Shared};
+use crate::view::View;
+
+/// Exit code of a failure while running.
+const EXIT_FAILED: u8 = 1;
+/// Exit code of a wrong command line or wrong settings.
+const EXIT_INPUT: u8 = 2;
+/// Inputs that may wait for the control duty.
+const CONTROL_CAPACITY: usize = 65_536;
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Print the help text.
+    Help,
+    /// Print the version.
+    Version,
+    /// Check the settings and end.
+    Check(PathBuf),
+    /// Run the router.
+    Run {
+        /// The settings file.
+        settings: PathBuf,
+        /// Rule broken on purpose.
+        flaw: Flaw,
+    },
+}
+
+/// Runs the router with the arguments behind the program's name.
+#[must_use]
+pub fn run(args: &[String]) -> ExitCode {
+    match parse(args).and_then(|action| act(&action)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tarragon-router: {error}");
+            ExitCode::from(if error.is_input() { EXIT_INPUT } else { EXIT_FAILED })
+        }
+    }
+}
+
+/// Understands the command line.
+///
+/// # Errors
+///
+/// Fails on unknown options and when `--settings` is missing.
+///
+/// ```
+/// use tarragon_router::cli::{Action, parse};
+///
+/// let args = ["--settings".to_owned(), "router.jsonc".to_owned(), "--check".to_owned()];
+/// assert_eq!(parse(&args).unwrap(), Action::Check("router.jsonc".into()));
+/// ```
+pub fn parse(args: &[String]) -> Result<Action, Error> {
+    let matches = options().parse(args).map_err(|error| Error::Usage(error.to_string()))?;
+    if matches.opt_present("help") {
+        return Ok(Action::Help);
+    }
+    if matches.opt_present("version") {
+        return Ok(Action::Version);
+    }
+    if let Some(extra) = matches.free.first() {
+        return Err(Error::Usage(format!("unexpected argument {extra:?}")));
+    }
+    let missing = || Error::Usage("--settings FILE is required".to_owned());
+    let settings = matches.opt_str("settings").map(PathBuf::from).ok_or_else(missing)?;
+    if matches.opt_present("check") {
+        return Ok(Action::Check(settings));
+    }
+    let name = matches.opt_str("seeded-fault").unwrap_or_else(|| "none".to_owned());
+    let unknown = || Error::Usage(format!("unknown seeded fault {name:?}"));
+    let flaw = Flaw::parse(&name).ok_or_else(unknown)?;
+    Ok(Action::Run { settings, flaw })
+}
+
+/// Returns the text that `--help` prints.
+#[must_use]
+pub fn help() -> String {
+    let brief = "Usage: tarragon-router --settings FILE [--check]\n\n\
+        Routes callers' requests to the backend servers that own their keys.\n\n\
+        Exit codes: 0 ended as asked, 1 failed while running, 2 bad command line or settings.\n\
+        Signals: TERM and INT hand the shards over, let requests end and stop; HUP is ignored, \
+        since configuration comes from the store.";
+    options().usage(brief)
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file, JSON with comments", "FILE");
+    options.optflag("", "check", "check the settings and end");
+    options.optopt("", "seeded-fault", "break a rule on purpose (experiments only)", "NAME");
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+fn act(action: &Action) -> Result<(), Error> {
+    match action {
+        Action::Help => println!("{}", help()),
+        Action::Version => println!("tarragon-router {}", env!("CARGO_PKG_VERSION")),
+        Action::Check(path) => {
+            settings::load(path)?.fleet_key()?;
+            println!("{}: the settings are fine", path.display());
+        }
+        Action::Run { settings, flaw } => serve(settings::load(settings)?, *flaw)?,
+    }
+    Ok(())
+}
+
+fn serve(settings: settings::Router, flaw: Flaw) -> Result<(), Error> {
+    let env = env_logger::Env::new().filter_or("TARRAGON_LOG", "warn");
+    let _ = env_logger::Builder::from_env(env).try_init();
+    let fleet_key = settings.fleet_key()?;
+    let me = Peer::new(settings.host.clone(), unix_micros() / 1_000);
+    let (commands, inbox) = mpsc::channel(CONTROL_CAPACITY);
+    let (publish, view) = watch::channel(Arc::new(View::default()));
+    let shared = Shared::new(Parts { settings, fleet_key, me, control: commands, view, flaw });
+    let control = control::spawn(shared.clone(), inbox, publish)?;
+    let duties = kernel::start(&shared)?;
+    for duty in duties {
+        let _ = duty.join();
+    }
+    shared.stop.cancel();
+    let _ = control.join();
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/src/exchange/auth.rs
@@ -0,0 +1,56 @@
+//! Proof that the other side of a control connection knows the fleet key.
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+use tarragon_model::host::Peer;
+
+use crate::wire::{Challenge, Introduction};
+
+/// Computes the code that proves knowledge of the fleet key.
+#[must_use]
+pub fn sign(key: &[u8], parts: &[&[u8]]) -> Vec<u8> {
+    let mut mac = new_mac(key);
+    for part in parts {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac.finalize().into_bytes().to_vec()
+}
+
+/// Tells whether a code was computed with the fleet key over the same parts, in constant time.
+///
+/// ```
+/// use tarragon_router::exchange::auth::{sign, verify};
+///
+/// let code = sign(b"key", &[b"nonce", b"h1"]);
+/// assert!(verify(b"key", &[b"nonce", b"h1"], &code));
+/// assert!(!verify(b"other", &[b"nonce", b"h1"], &code));
+/// ```
+#[must_use]
+pub fn verify(key: &[u8], parts: &[&[u8]], code: &[u8]) -> bool {
+    let mut mac = new_mac(key);
+    for part in parts {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac.verify_slice(code).is_ok()
+}
+
+/// Answers a challenge.
+#[must_use]
+pub fn introduce(key: &[u8], challenge: &Challenge, me: &Peer) -> Introduction {
+    let name = me.to_string();
+    Introduction { peer: me.clone(), mac: sign(key, &[&challenge.nonce, name.as_bytes()]) }
+}
+
+/// Checks the answer to a challenge.
+#[must_use]
+pub fn check(key: &[u8], challenge: &Challenge, answer: &Introduction) -> bool {
+    let name = answer.peer.to_string();
+    verify(key, &[&challenge.nonce, name.as_bytes()], &answer.mac)
+}
+
+fn new_mac(key: &[u8]) -> Hmac<Sha256> {
+    // An HMAC takes a key of any length, so the error cannot occur.
+    Hmac::<Sha256>::new_from_slice(key).unwrap_or_else(|_| unreachable!("any key length is valid"))
+}
--- /dev/null
+++ b/crates/router/src/front/mod.rs
@@ -0,0 +1,139 @@
+//! The duties that serve callers and the requests that other routers forward.
+
+pub mod forward;
+pub mod lead;
+pub mod parse;
+pub mod relay;
+pub mod reply;
+pub mod route;
+
+use http::HeaderValue;
+use http::header::CONNECTION;
+use tarragon_timeline::event::{Draft, Kind, Name};
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::backend::Client;
+use crate::error::Error;
+use crate::exchange::auth;
+use crate::front::reply::Answer;
+use crate::kernel::{Duty, Work};
+use crate::server::{self, Handler, Limits};
+use crate::shared::Shared;
+
+/// Threads that serve callers.
+const CALLER_THREADS: usize = 2;
+/// Threads that serve forwarded requests.
+const FORWARD_THREADS: usize = 2;
+/// Header fields that a request may have.
+const MAX_HEADERS: usize = 64;
+/// Header that marks a forwarded request.
+pub const HOP_HEADER: &str = "tarragon-hop";
+/// Header that proves that a forwarded request comes from a router of the fleet.
+pub const FLEET_HEADER: &str = "tarragon-fleet";
+
+inventory::submit!(Duty { name: "callers", threads: CALLER_THREADS, start: start_callers });
+inventory::submit!(Duty { name: "forwarded", threads: FORWARD_THREADS, start: start_forwarded });
+
+fn start_callers(shared: Shared) -> Work {
+    Box::pin(async move {
+        let addr = shared.settings.caller_addr;
+        serve(shared, addr, Origin::Caller).await
+    })
+}
+
+fn start_forwarded(shared: Shared) -> Work {
+    Box::pin(async move {
+        let addr = shared.settings.forward_addr;
+        serve(shared, addr, Origin::Router).await
+    })
+}
+
+async fn serve(shared: Shared, addr: std::net::SocketAddr, origin: Origin) -> Result<(), Error> {
+    let client = Client::new().map_err(|error| Error::Store {
+        addr,
+        detail: error.to_string(),
+    })?;
+    let (close, stop) = (shared.close.clone(), shared.stop.clone());
+    let front = Front { shared, client, origin };
+    server::serve(addr, Limits { headers: MAX_HEADERS }, front, close, stop).await
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    Caller,
+    Router,
+}
+
+#[derive(Clone)]
+struct Front {
+    shared: Shared,
+    client: Client,
+    origin: Origin,
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request) -> Response {
+        let started = self.shared.clock.at();
+        let guard = self.shared.enter();
+        let answer = self.answer(request).await;
+        let seconds = self.shared.clock.at().since(started).as_secs_f64();
+        if self.origin == Origin::Caller {
+            self.shared.metrics.answered(answer.outcome, answer.reason, seconds);
+        }
+        let mut response = answer.into_response(guard);
+        if self.shared.drain.is_cancelled() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+impl Front {
+    async fn answer(&self, request: Request) -> Answer {
+        if self.origin == Origin::Router && !self.is_from_fleet(&request) {
+            let draft = Draft::new(Kind::BadFrame)
+                .with(Name::Step, "forward")
+                .with(Name::Reason, "no proof of the fleet key");
+            self.shared.record(draft);
+            return Answer::refuse(tarragon_model::outcome::Reason::BadRequest);
+        }
+        let view = self.shared.view.borrow().clone();
+        let task = match parse::read(&self.shared, &view, request).await {
+            Ok(task) => task,
+            Err(reason) => return Answer::refuse(reason),
+        };
+        match self.origin {
+            Origin::Caller => route::to_leader(&self.shared, &self.client, &task).await,
+            Origin::Router => lead::run(&self.shared, &self.client, &task).await,
+        }
+    }
+
+    fn is_from_fleet(&self, request: &Request) -> bool {
+        let path = request.uri().path_and_query().map_or("", http::uri::PathAndQuery::as_str);
+        let code = crate::backend::text(request.headers(), FLEET_HEADER).and_then(decode_hex);
+        code.is_some_and(|code| auth::verify(&self.shared.fleet_key, &[path.as_bytes()], &code))
+    }
+}
+
+/// Writes bytes as hexadecimal digits.
+#[must_use]
+pub fn encode_hex(bytes: &[u8]) -> String {
+    use std::fmt::Write as _;
+    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+fn decode_hex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    if !digits.len().is_multiple_of(2) {
+        return None;
+    }
+    digits
+        .chunks(2)
+        .map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok())
+        .collect()
+}
--- /dev/null
+++ b/crates/router/src/front/relay.rs
@@ -0,0 +1,134 @@
+//! Passing the body of an answer on, with bounded memory and bounded patience.
+//!
+//! A task of its own reads the sender's body into a short queue. So a caller that never reads
+//! holds a few chunks of memory, and is cut off after a while. A body that breaks off ends with an
+//! error, which closes the caller's connection: the caller cannot take a part for the whole.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use volo_http::body::Body;
+
+use crate::shared::InFlight;
+
+/// Chunks that may wait for the caller.
+const QUEUE: usize = 4;
+
+/// Error that ends a body early.
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A body on its way to the caller.
+pub struct Chunks {
+    queue: mpsc::Receiver<Result<Bytes, BoxError>>,
+    length: Option<u64>,
+}
+
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole body was handed to the caller's connection.
+    Whole,
+    /// The sender broke off, or sent nothing for too long.
+    Cut,
+    /// The caller went away, or read nothing for too long.
+    CallerGone,
+}
+
+/// Why a body was cut.
+#[derive(Debug, thiserror::Error)]
+#[error("step=relay: the answer broke off")]
+struct Broken;
+
+/// Starts to pass a body on; `ended` is told how it ended.
+pub fn start<F>(body: Body, idle: Duration, abort: CancellationToken, ended: F) -> Chunks
+where
+    F: FnOnce(End) + Send + 'static,
+{
+    use http_body::Body as _;
+    let length = body.size_hint().exact();
+    let (sender, queue) = mpsc::channel(QUEUE);
+    tokio::spawn(async move {
+        let end = pump(body, idle, &abort, &sender).await;
+        if end == End::Cut {
+            let _ = sender.send(Err(Box::new(Broken) as BoxError)).await;
+        }
+        drop(sender);
+        ended(end);
+    });
+    Chunks { queue, length }
+}
+
+async fn pump(
+    mut body: Body,
+    idle: Duration,
+    abort: &CancellationToken,
+    sender: &mpsc::Sender<Result<Bytes, BoxError>>,
+) -> End {
+    loop {
+        let frame = tokio::select! {
+            () = abort.cancelled() => return End::Cut,
+            () = sender.closed() => return End::CallerGone,
+            frame = timeout(idle, body.frame()) => frame,
+        };
+        let frame = match frame {
+            Ok(None) => return End::Whole,
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) | Err(_) => return End::Cut,
+        };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        match timeout(idle, sender.send(Ok(bytes))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return End::CallerGone,
+        }
+    }
+}
+
+impl Chunks {
+    /// Makes the body of an HTTP answer.
+    #[must_use]
+    pub fn into_body(self, guard: InFlight) -> Body {
+        Body::from_body(Outgoing { chunks: self, _guard: guard, done: false })
+    }
+}
+
+/// Body that counts as in flight until it is dropped.
+struct Outgoing {
+    chunks: Chunks,
+    _guard: InFlight,
+    done: bool,
+}
+
+impl http_body::Body for Outgoing {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<http_body::Frame<Bytes>, BoxError>>> {
+        let next = self.chunks.queue.poll_recv(cx);
+        if let Poll::Ready(None) = next {
+            self.done = true;
+        }
+        next.map(|item| item.map(|bytes| bytes.map(http_body::Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.done
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match self.chunks.length {
+            Some(length) => http_body::SizeHint::with_exact(length),
+            None => http_body::SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/front/route.rs
@@ -0,0 +1,50 @@
+//! Finding the leader of a request's shard, while leaders come and go.
+
+use std::time::Duration;
+
+use tarragon_model::outcome::{Outcome, Reason};
+use tokio::time::sleep;
+
+use crate::backend::Client;
+use crate::front::forward::{self, Forwarded};
+use crate::front::lead;
+use crate::front::parse::Task;
+use crate::front::reply::Answer;
+use crate::shared::Shared;
+use crate::view::Route;
+
+/// Pause before the leader is looked up again.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// Brings a request to its leader, as often as its deadline allows.
+///
+/// A request is tried again only when it provably did not run, or when running it twice does no
+/// harm. The leader's memory of identifiers is what keeps a resent request from running twice.
+pub async fn to_leader(shared: &Shared, client: &Client, task: &Task) -> Answer {
+    let mut last = Answer::refuse(Reason::NoLeader);
+    let mut maybe_run = false;
+    while shared.clock.at() < task.deadline {
+        let route = shared.view.borrow().routes.get(&task.shard).cloned();
+        last = match route {
+            Some(Route::Here) => lead::run(shared, client, task).await,
+            Some(Route::There(addr)) => match forward::send(shared, client, task, addr).await {
+                Forwarded::Answered(answer) => answer,
+                Forwarded::NotSent => Answer::refuse(Reason::NoLeader),
+                Forwarded::Broken if task.idempotent => {
+                    maybe_run = true;
+                    Answer::refuse(Reason::NoLeader)
+                }
+                Forwarded::Broken => return Answer::told(Outcome::Unknown, Reason::BackendFailed),
+            },
+            None => Answer::refuse(Reason::NoLeader),
+        };
+        if !last.is_misrouted() {
+            break;
+        }
+        sleep(PAUSE).await;
+    }
+    if maybe_run && last.outcome == Outcome::NotRun {
+        last.outcome = Outcome::Unknown;
+    }
+    last
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,2 +1,8 @@
-//! Placeholder.
-fn main() {}
+//! Thin entry point of the router.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    tarragon_router::cli::run(&args)
+}
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,156 @@
+//! What all duties of one router process share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tarragon_model::host::{self, Peer};
+use tarragon_model::settings;
+use tarragon_timeline::event::Draft;
+use tarragon_timeline::journal::Journal;
+use tarragon_timeline::stamp::Stamp;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::{Clock, unix_micros};
+use crate::control::Command;
+use crate::flaw::Flaw;
+use crate::metrics::Metrics;
+use crate::view::View;
+
+/// Handles that every duty gets.
+#[derive(Clone)]
+pub struct Shared {
+    /// Settings of the process.
+    pub settings: Arc<settings::Router>,
+    /// Key that all hosts share.
+    pub fleet_key: Arc<Vec<u8>>,
+    /// This process.
+    pub me: Peer,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Way to the control duty.
+    pub control: mpsc::Sender<Command>,
+    /// What the control duty last made known.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Events of this process.
+    pub journal: Arc<Mutex<Journal>>,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
+    /// Cancelled when the process is asked to leave.
+    pub drain: CancellationToken,
+    /// Cancelled when nothing is in flight any more and connections may be closed.
+    pub close: CancellationToken,
+    /// Cancelled when the process may end.
+    pub stop: CancellationToken,
+    /// Requests whose answer is not yet fully passed on.
+    pub in_flight: Arc<AtomicUsize>,
+    /// Rule broken on purpose.
+    pub flaw: Flaw,
+    next_request: Arc<AtomicU64>,
+}
+
+/// Counts a request as in flight until dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicUsize>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Parts that [`Shared::new`] is built from.
+pub struct Parts {
+    /// Settings of the process.
+    pub settings: settings::Router,
+    /// Key that all hosts share.
+    pub fleet_key: Vec<u8>,
+    /// This process.
+    pub me: Peer,
+    /// Way to the control duty.
+    pub control: mpsc::Sender<Command>,
+    /// What the control duty makes known.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Rule broken on purpose.
+    pub flaw: Flaw,
+}
+
+impl Shared {
+    /// Sets up the shared handles.
+    #[must_use]
+    pub fn new(parts: Parts) -> Self {
+        let journal = Journal::new(parts.me.host.clone(), parts.settings.limits.events);
+        Self {
+            settings: Arc::new(parts.settings),
+            fleet_key: Arc::new(parts.fleet_key),
+            me: parts.me,
+            clock: Clock::start(),
+            control: parts.control,
+            view: parts.view,
+            journal: Arc::new(Mutex::new(journal)),
+            metrics: Arc::new(Metrics::new()),
+            drain: CancellationToken::new(),
+            close: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            in_flight: Arc::new(AtomicUsize::new(0)),
+            flaw: parts.flaw,
+            next_request: Arc::new(AtomicU64::new(1)),
+        }
+    }
+
+    /// Returns a number for a new request.
+    #[must_use]
+    pub fn next_request(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    #[must_use]
+    pub fn enter(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight(self.in_flight.clone())
+    }
+
+    /// Records an event in the time line and in the log.
+    pub fn record(&self, draft: Draft) {
+        let mut journal = self.journal.lock().unwrap_or_else(PoisonError::into_inner);
+        let event = journal.push(draft, unix_micros());
+        drop(journal);
+        log::info!("{event}");
+    }
+
+    /// Returns a time stamp for an event or a message.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        let mut journal = self.journal.lock().unwrap_or_else(PoisonError::into_inner);
+        journal.stamp(unix_micros())
+    }
+
+    /// Takes in a time stamp of another process.
+    pub fn observe(&self, stamp: Stamp) {
+        let mut journal = self.journal.lock().unwrap_or_else(PoisonError::into_inner);
+        journal.observe(unix_micros(), stamp);
+    }
+
+    /// Returns the address to dial for an advertised address.
+    #[must_use]
+    pub fn dialled(&self, addr: SocketAddr) -> SocketAddr {
+        self.settings.dialled(addr)
+    }
+
+    /// Returns what this host says of itself.
+    #[must_use]
+    pub fn entry(&self) -> host::Entry {
+        let settings = &self.settings;
+        host::Entry {
+            id: settings.host.clone(),
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            peer_addr: settings.peer_addr,
+            forward_addr: settings.forward_addr,
+            admin_addr: settings.admin_addr,
+            state: host::State::Live,
+        }
+    }
+}
