Test the stand-ins as real processes

Cause: experiments trust the stand-ins' records and faults, so both need tests of their own.

Writes to the store's stand-in run on their own and so take effect after their caller gave up. Links tell the address they listen on, so that tests need no port of their own choice. Backend servers' stand-ins count runs and refusals.

Ruled out: choosing a free port and binding it later, which races between tests.

--- a/crates/lab/src/standin/backend/http.rs
+++ b/crates/lab/src/standin/backend/http.rs
@@ -37,6 +37,7 @@
         (&Method::POST, "/_grant") => late(&state, grant(&state, body).await).await,
         (&Method::GET, "/_health") => health(&state).await,
         (&Method::GET, "/_load") => late(&state, load(&state)).await,
+        (&Method::GET, "/_stats") => reply::json(StatusCode::OK, &*state.stats()),
         _ => late(&state, work(&state, &head, body).await).await,
     };
     if let Ok(instance) = HeaderValue::from_str(&state.instance) {
@@ -107,7 +108,7 @@
     let order = Order::read(head);
     let slot = match admit(state, &order).await {
         Ok(slot) => slot,
-        Err(reason) => return refused(reason),
+        Err(reason) => return refused(state, reason),
     };
     let run = Run::start(Arc::clone(state), order.clone());
     if order.poison {
@@ -125,12 +126,12 @@
         Some(Err(BrokenBody)) => return reply::closed_connection(),
         None => {
             run.abort();
-            return refused("deadline");
+            return refused(state, "deadline");
         }
     }
     match run.commit() {
         Ok(()) => done(state, &order, slot),
-        Err(_) => refused("expired"),
+        Err(_) => refused(state, "expired"),
     }
 }
 
@@ -198,7 +199,8 @@
     response
 }
 
-fn refused(reason: &'static str) -> Response {
+fn refused(state: &State, reason: &'static str) -> Response {
+    state.stats().refuse(reason);
     let mut response = reply::empty(StatusCode::SERVICE_UNAVAILABLE);
     let reason = HeaderValue::from_static(reason);
     response.headers_mut().insert(REFUSED, reason);
--- a/crates/lab/src/standin/backend/mod.rs
+++ b/crates/lab/src/standin/backend/mod.rs
@@ -13,6 +13,7 @@
 pub mod run;
 pub mod slots;
 pub mod state;
+pub mod stats;
 
 use std::sync::Arc;
 
--- a/crates/lab/src/standin/backend/run.rs
+++ b/crates/lab/src/standin/backend/run.rs
@@ -130,6 +130,8 @@
     }
 
     fn append(&self, end_us: Option<u64>, state: record::State) {
+        let time_us = end_us.map_or(0, |end| end.saturating_sub(self.start_us));
+        self.state.stats().count(state, time_us);
         self.state.recorder.append(&Line {
             service: &self.state.options.service,
             backend: &self.state.options.id,
--- a/crates/lab/src/standin/backend/state.rs
+++ b/crates/lab/src/standin/backend/state.rs
@@ -12,6 +12,7 @@
 use super::record::Recorder;
 use super::run::Order;
 use super::slots::Slots;
+use super::stats::Stats;
 use crate::standin::clock;
 use crate::standin::error::Error;
 
@@ -35,6 +36,7 @@
     draining: AtomicBool,
     grants: Mutex<Grants>,
     faults: Mutex<Faults>,
+    stats: Mutex<Stats>,
 }
 
 impl State {
@@ -56,6 +58,7 @@
             draining: AtomicBool::new(false),
             grants: Mutex::new(Grants::new(clock::millis())),
             faults: Mutex::default(),
+            stats: Mutex::default(),
             options,
         })
     }
@@ -70,6 +73,11 @@
         self.grants.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the counts.
+    pub fn stats(&self) -> MutexGuard<'_, Stats> {
+        self.stats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Stops taking new work.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/crates/lab/src/standin/links/config.rs
+++ b/crates/lab/src/standin/links/config.rs
@@ -23,6 +23,8 @@
     /// Unique name, such as `h1->h2`.
     pub name: String,
     /// Address on which the link accepts connections.
+    ///
+    /// With port zero any free port is taken, which `GET /_stats` tells.
     pub listen: SocketAddr,
     /// Address to which the link connects them.
     pub target: SocketAddr,
--- a/crates/lab/src/standin/links/connection.rs
+++ b/crates/lab/src/standin/links/connection.rs
@@ -5,7 +5,6 @@
 //! target accepts again; only the connection that found out is reset instead.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +16,6 @@
 use super::fault::Direction;
 use super::link::Link;
 use super::pump;
-use crate::standin::error::Error;
 
 /// Time between two looks for a target that refused.
 const PROBE_PAUSE: Duration = Duration::from_millis(20);
@@ -26,24 +24,8 @@
 /// Bytes that a connection may send before it is set up, at most.
 const EARLY_BYTES: usize = 64 * 1024;
 
-/// Binds a link and starts to accept its connections.
-///
-/// # Errors
-///
-/// [`Error::Io`] when the address cannot be bound.
-pub async fn start(link: Arc<Link>, listen: SocketAddr) -> Result<(), Error> {
-    let object = format!("{} {listen}", link.name);
-    let listener = TcpListener::bind(listen)
-        .await
-        .map_err(Error::io("bind", &object))?;
-    let addr = listener
-        .local_addr()
-        .map_err(Error::io("read address of", &object))?;
-    tokio::spawn(accept(link, listener, addr));
-    Ok(())
-}
-
-async fn accept(link: Arc<Link>, mut listener: TcpListener, addr: SocketAddr) {
+/// Accepts the connections of a link.
+pub async fn accept(link: Arc<Link>, mut listener: TcpListener) {
     let refused = Arc::new(Notify::new());
     loop {
         tokio::select! {
@@ -53,7 +35,7 @@
             },
             () = refused.notified() => {
                 drop(listener);
-                listener = refuse(&link, addr).await;
+                listener = refuse(&link).await;
             }
         }
     }
@@ -77,14 +59,14 @@
 }
 
 /// Keeps the address closed until the target accepts, or the link is cut and must be silent.
-async fn refuse(link: &Link, addr: SocketAddr) -> TcpListener {
+async fn refuse(link: &Link) -> TcpListener {
     log::info!("event=target-refused link={}", link.name);
     loop {
         tokio::time::sleep(PROBE_PAUSE).await;
-        if !link.is_cut() && TcpStream::connect(link.target).await.is_err() {
+        if !link.is_cut() && dial(link).await.is_err() {
             continue;
         }
-        match TcpListener::bind(addr).await {
+        match TcpListener::bind(link.listen).await {
             Ok(listener) => return listener,
             Err(error) => log::warn!("event=bind-failed link={} error=\"{error}\"", link.name),
         }
@@ -97,7 +79,7 @@
     let Some(first) = early(link, &mut near).await? else {
         return Ok(());
     };
-    let mut far = match TcpStream::connect(link.target).await {
+    let mut far = match dial(link).await {
         Ok(far) => far,
         Err(error) => {
             if error.kind() == io::ErrorKind::ConnectionRefused {
@@ -120,6 +102,19 @@
     result
 }
 
+/// Connects to the target.
+///
+/// A dial to a closed port of this machine that is also the port dialled from connects to itself;
+/// that is a refusal.
+async fn dial(link: &Link) -> io::Result<TcpStream> {
+    let far = TcpStream::connect(link.target).await?;
+    if far.local_addr()? == link.target {
+        let _ = far.set_zero_linger();
+        return Err(io::ErrorKind::ConnectionRefused.into());
+    }
+    Ok(far)
+}
+
 /// Carries both directions until both end or one fails.
 async fn carry(
     link: &Link,
--- a/crates/lab/src/standin/links/control.rs
+++ b/crates/lab/src/standin/links/control.rs
@@ -42,7 +42,11 @@
     let links: Vec<Value> = network
         .links
         .iter()
-        .map(|link| counts(&link.name, &link.own))
+        .map(|link| {
+            let mut counts = counts(&link.name, &link.own);
+            counts["listen"] = json!(link.listen);
+            counts
+        })
         .collect();
     let groups: Vec<Value> = network
         .groups
--- a/crates/lab/src/standin/links/link.rs
+++ b/crates/lab/src/standin/links/link.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -42,6 +43,8 @@
 pub struct Link {
     /// Name of the link.
     pub name: String,
+    /// Address on which connections are accepted.
+    pub listen: SocketAddr,
     /// Address to which connections go on.
     pub target: SocketAddr,
     /// Bytes of this link.
@@ -55,9 +58,10 @@
 }
 
 impl Link {
-    fn new(link: &config::Link, shared: Arc<Lines>) -> Self {
+    fn new(link: &config::Link, listen: SocketAddr, shared: Arc<Lines>) -> Self {
         Self {
             name: link.name.clone(),
+            listen,
             target: link.target,
             own: Lines::default(),
             shared,
@@ -165,9 +169,10 @@
         };
         for link in &config.links {
             let shared = network.lines(link);
-            let carried = Arc::new(Link::new(link, shared));
-            connection::start(Arc::clone(&carried), link.listen).await?;
-            network.links.push(carried);
+            let (listener, listen) = bind(link).await?;
+            let link = Arc::new(Link::new(link, listen, shared));
+            tokio::spawn(connection::accept(Arc::clone(&link), listener));
+            network.links.push(link);
         }
         Ok(network)
     }
@@ -190,3 +195,14 @@
         }
     }
 }
+
+async fn bind(link: &config::Link) -> Result<(TcpListener, SocketAddr), Error> {
+    let object = format!("{} {}", link.name, link.listen);
+    let listener = TcpListener::bind(link.listen)
+        .await
+        .map_err(Error::io("bind", &object))?;
+    let listen = listener
+        .local_addr()
+        .map_err(Error::io("read address of", &object))?;
+    Ok((listener, listen))
+}
--- a/crates/lab/src/standin/links/pump.rs
+++ b/crates/lab/src/standin/links/pump.rs
@@ -4,10 +4,11 @@
 //! many parts at once. The timer's resolution is one millisecond; shorter delays are rounded up.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::Instant;
 
 use super::fault::Direction;
@@ -15,8 +16,10 @@
 
 /// Room that is made for a part, in bytes.
 const PART_BYTES: usize = 16 * 1024;
-/// Parts that are under way in one direction of a connection, at most.
-const PARTS: usize = 64;
+/// Bytes that are under way in one direction of a connection, at most.
+///
+/// One part may exceed it by what the buffer had room for.
+const WINDOW_BYTES: u32 = 1024 * 1024;
 
 /// What comes out of a socket.
 enum Event {
@@ -25,9 +28,22 @@
     Broken(io::Error),
 }
 
+impl Event {
+    /// Returns the room that it takes in the window, zero for the last event.
+    fn size(&self) -> u32 {
+        match self {
+            Self::Bytes(bytes) => {
+                u32::try_from(bytes.len()).map_or(WINDOW_BYTES, |size| size.min(WINDOW_BYTES))
+            }
+            Self::End | Self::Broken(_) => 0,
+        }
+    }
+}
+
 struct Part {
     exit: Instant,
     event: Event,
+    _room: OwnedSemaphorePermit,
 }
 
 /// Carries bytes until the end of the stream; `first` were read already.
@@ -42,7 +58,7 @@
     from: impl AsyncRead + Unpin,
     to: impl AsyncWrite + Unpin,
 ) -> io::Result<()> {
-    let (sender, receiver) = mpsc::channel(PARTS);
+    let (sender, receiver) = mpsc::unbounded_channel();
     let reading = read(link, first, from, sender);
     let writing = write(link, direction, receiver, to);
     tokio::pin!(writing);
@@ -57,10 +73,11 @@
     link: &Link,
     first: Bytes,
     mut from: impl AsyncRead + Unpin,
-    sender: mpsc::Sender<Part>,
+    sender: mpsc::UnboundedSender<Part>,
 ) {
     let mut buffer = BytesMut::from(first);
     let mut exit = Instant::now();
+    let window = Arc::new(Semaphore::new(WINDOW_BYTES as usize));
     loop {
         let event = if buffer.is_empty() {
             buffer.reserve(PART_BYTES);
@@ -68,9 +85,17 @@
         } else {
             Event::Bytes(buffer.split().freeze())
         };
-        let last = !matches!(event, Event::Bytes(_));
         exit = exit.max(link.exit_time());
-        if sender.send(Part { exit, event }).await.is_err() || last {
+        let size = event.size();
+        let Ok(room) = Arc::clone(&window).acquire_many_owned(size).await else {
+            return;
+        };
+        let part = Part {
+            exit,
+            event,
+            _room: room,
+        };
+        if sender.send(part).is_err() || size == 0 {
             return;
         }
     }
@@ -87,7 +112,7 @@
 async fn write(
     link: &Link,
     direction: Direction,
-    mut receiver: mpsc::Receiver<Part>,
+    mut receiver: mpsc::UnboundedReceiver<Part>,
     mut to: impl AsyncWrite + Unpin,
 ) -> io::Result<()> {
     while let Some(part) = receiver.recv().await {
--- a/crates/lab/src/standin/store/http.rs
+++ b/crates/lab/src/standin/store/http.rs
@@ -29,11 +29,7 @@
 /// The store, shared by all its calls.
 #[derive(Clone)]
 pub struct Store {
-    shared: Arc<Shared>,
-}
-
-struct Shared {
-    state: Mutex<State>,
+    state: Arc<Mutex<State>>,
 }
 
 struct State {
@@ -57,17 +53,16 @@
     /// Creates an empty store.
     pub fn new(options: &Options) -> Self {
         let state = State {
-            objects: Objects::default(),
+            objects: Objects::new(options.keep),
             faults: Faults::default(),
             stats: Stats::default(),
             writes: Bucket::new(options.writes_per_s),
             reads: Bucket::new(options.reads_per_s),
             changed: HashMap::new(),
         };
-        let shared = Arc::new(Shared {
-            state: Mutex::new(state),
-        });
-        Self { shared }
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
     }
 
     /// Answers one request.
@@ -84,10 +79,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.shared
-            .state
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn order(&self, body: Body) -> Response {
@@ -111,19 +103,30 @@
         if let Some(refusal) = self.admit(call) {
             return refusal;
         }
-        let delay = self.state().faults.delay();
-        tokio::time::sleep(delay.unwrap_or_default()).await;
         match target {
-            Target::Object(kind, name) if call == Call::Put => {
-                self.put(kind, name, uri, body).await
+            Target::Object(kind, name) if call.is_write() => {
+                self.write(call, kind, name, uri, body).await
+            }
+            Target::Object(kind, name) => {
+                self.delay().await;
+                self.get(kind, name)
+            }
+            Target::Kind(kind) => {
+                self.delay().await;
+                self.list(kind)
+            }
+            Target::Watch(kind) => {
+                self.delay().await;
+                self.watch(kind, uri).await
             }
-            Target::Object(kind, name) if call == Call::Delete => self.delete(kind, name, uri),
-            Target::Object(kind, name) => self.get(kind, name),
-            Target::Kind(kind) => self.list(kind),
-            Target::Watch(kind) => self.watch(kind, uri).await,
         }
     }
 
+    async fn delay(&self) {
+        let delay = self.state().faults.delay();
+        tokio::time::sleep(delay.unwrap_or_default()).await;
+    }
+
     /// Counts a call and refuses it when the store is down or the call over the rate.
     fn admit(&self, call: Call) -> Option<Response> {
         let mut state = self.state();
@@ -167,7 +170,8 @@
         )
     }
 
-    async fn put(&self, kind: &str, name: &str, uri: &Uri, body: Body) -> Response {
+    /// Executes a write on its own, so that it takes effect even when the caller gives up.
+    async fn write(&self, call: Call, kind: &str, name: &str, uri: &Uri, body: Body) -> Response {
         let Some(expected) = reply::number(uri, "if_version") else {
             return reply::empty(StatusCode::BAD_REQUEST);
         };
@@ -175,7 +179,22 @@
             Ok(body) => body,
             Err(status) => return reply::empty(status),
         };
-        let Ok(value) = serde_json::from_slice(&body) else {
+        let store = self.clone();
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        let write = tokio::spawn(async move {
+            store.delay().await;
+            match call {
+                Call::Delete => store.delete(&kind, &name, expected),
+                _ => store.put(&kind, &name, expected, &body),
+            }
+        });
+        write
+            .await
+            .unwrap_or_else(|_| reply::empty(StatusCode::INTERNAL_SERVER_ERROR))
+    }
+
+    fn put(&self, kind: &str, name: &str, expected: u64, body: &[u8]) -> Response {
+        let Ok(value) = serde_json::from_slice(body) else {
             return reply::empty(StatusCode::BAD_REQUEST);
         };
         let mut state = self.state();
@@ -183,10 +202,7 @@
         state.written(kind, result)
     }
 
-    fn delete(&self, kind: &str, name: &str, uri: &Uri) -> Response {
-        let Some(expected) = reply::number(uri, "if_version") else {
-            return reply::empty(StatusCode::BAD_REQUEST);
-        };
+    fn delete(&self, kind: &str, name: &str, expected: u64) -> Response {
         let mut state = self.state();
         let result = state.objects.delete(kind, name, expected);
         state.written(kind, result)
--- a/crates/lab/src/standin/store/log.rs
+++ b/crates/lab/src/standin/store/log.rs
@@ -6,8 +6,6 @@
 
 use serde_json::Value;
 
-/// Changes that are kept, at most.
-pub const KEPT_CHANGES: usize = 8_192;
 /// Size of the values that kept changes wrote, at most, in bytes.
 pub const KEPT_BYTES: usize = 128 * 1024 * 1024;
 
@@ -46,14 +44,25 @@
 }
 
 /// The latest changes, in the order of their revisions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Log {
+    keep: usize,
     entries: VecDeque<Entry>,
     revision: u64,
     size: usize,
 }
 
 impl Log {
+    /// Creates an empty log that keeps at most so many changes.
+    pub fn new(keep: usize) -> Self {
+        Self {
+            keep,
+            entries: VecDeque::new(),
+            revision: 0,
+            size: 0,
+        }
+    }
+
     /// Returns the revision of the latest change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -64,7 +73,7 @@
         self.revision = entry.revision;
         self.size += entry.size();
         self.entries.push_back(entry);
-        while self.entries.len() > KEPT_CHANGES || self.size > KEPT_BYTES {
+        while self.entries.len() > self.keep || self.size > KEPT_BYTES {
             let Some(oldest) = self.entries.pop_front() else {
                 break;
             };
--- a/crates/lab/src/standin/store/objects.rs
+++ b/crates/lab/src/standin/store/objects.rs
@@ -20,13 +20,21 @@
 }
 
 /// All objects, with the log of their changes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Objects {
     kinds: BTreeMap<Arc<str>, Names>,
     log: Log,
 }
 
 impl Objects {
+    /// Creates an empty store that keeps at most so many changes.
+    pub fn new(keep: usize) -> Self {
+        Self {
+            kinds: BTreeMap::new(),
+            log: Log::new(keep),
+        }
+    }
+
     /// Returns the log of changes.
     pub fn log(&self) -> &Log {
         &self.log
--- /dev/null
+++ b/crates/lab/tests/standin/backend.rs
@@ -0,0 +1,208 @@
+//! The backend server's stand-in: work, records and faults.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use rustix::process::Signal;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::support::{self, Answer, Process, WorkDir, eventually, open, states};
+
+const RECORD: &str = "record.jsonl";
+
+fn start(dir: &WorkDir, args: &str) -> Process {
+    let record = dir.path(RECORD);
+    let record = record.display();
+    Process::start(&format!(
+        "backend --service s --id b1 --listen 127.0.0.1:0 --record {record} {args}"
+    ))
+}
+
+async fn call(process: &Process, path: &str) -> Result<Answer, String> {
+    support::call(process.addr, Method::GET, path, &[], "").await
+}
+
+/// Starts a call that is given up when the handle is aborted.
+fn spawn(process: &Process, path: &'static str) -> tokio::task::JoinHandle<Result<Answer, String>> {
+    let addr = process.addr;
+    tokio::spawn(async move { support::call(addr, Method::GET, path, &[], "").await })
+}
+
+async fn has_states(dir: &WorkDir, request: &str, expected: &[&str]) {
+    let path = dir.path(RECORD);
+    eventually(|| (states(&path, request) == expected).then_some(())).await;
+}
+
+async fn load(process: &Process, name: &str) -> u64 {
+    process.get("/_load").await.json()[name].as_u64().unwrap()
+}
+
+fn peak_kib(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let size = line.unwrap().split_whitespace().nth(1);
+    size.unwrap().parse().unwrap()
+}
+
+cases! {
+    work_is_recorded_and_answered(dir) {
+        let process = start(&dir, "");
+        let headers = [("tarragon-request", "r1"), ("idempotency-key", "e1"), ("tarragon-key", "k9")];
+        let path = "/s/k1/x?work_us=1000&bytes=300";
+        let answer = support::call(process.addr, Method::POST, path, &headers, "body").await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.header("tarragon-request"), "r1");
+        assert!(answer.header("tarragon-instance").starts_with("b1-"));
+        let first = xxh3_64(b"r1") % 251;
+        let expected: Vec<u8> = (0..300).map(|i| u8::try_from((first + i) % 251).unwrap()).collect();
+        assert_eq!(answer.body, expected);
+        has_states(&dir, "r1", &["started", "committed"]).await;
+        let text = std::fs::read_to_string(dir.path(RECORD)).unwrap();
+        assert!(text.contains(r#""key":"k9","request":"r1","effect_id":"e1""#));
+    }
+
+    a_large_body_takes_little_memory(dir) {
+        let process = start(&dir, "");
+        let path = "/s/k1/x?bytes=200000000";
+        let response = open(process.addr, Method::GET, path, &[], "").await.unwrap();
+        let mut body = response.into_body();
+        let mut next = xxh3_64(b"/s/k1/x") % 251;
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let bytes = frame.unwrap().into_data().unwrap();
+            for byte in bytes.iter().step_by(251) {
+                assert_eq!(u64::from(*byte), next);
+            }
+            let size = u64::try_from(bytes.len()).unwrap();
+            next = (next + size) % 251;
+            length += size;
+        }
+        assert_eq!(length, 200_000_000);
+        assert!(peak_kib(process.pid()) < 64 * 1024);
+    }
+
+    work_beyond_the_slots_is_refused(dir) {
+        let process = start(&dir, "--slots 2");
+        let one = spawn(&process, "/s/k1/one?work_us=60000000");
+        let two = spawn(&process, "/s/k1/two?work_us=60000000");
+        has_states(&dir, "/s/k1/one", &["started"]).await;
+        has_states(&dir, "/s/k1/two", &["started"]).await;
+        let answer = call(&process, "/s/k1/three").await.unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(answer.header("tarragon-refused"), "busy");
+        assert_eq!(load(&process, "running").await, 2);
+        one.abort();
+        two.abort();
+        has_states(&dir, "/s/k1/one", &["started", "cancelled"]).await;
+        assert_eq!(call(&process, "/s/k1/four").await.unwrap().status, StatusCode::OK);
+        assert!(states(&dir.path(RECORD), "/s/k1/three").is_empty());
+    }
+
+    work_waits_in_the_queue(dir) {
+        let process = start(&dir, "--slots 1 --queue 1");
+        let one = spawn(&process, "/s/k1/one?work_us=60000000");
+        has_states(&dir, "/s/k1/one", &["started"]).await;
+        let two = spawn(&process, "/s/k1/two");
+        while load(&process, "queued").await == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(states(&dir.path(RECORD), "/s/k1/two").is_empty());
+        one.abort();
+        assert_eq!(two.await.unwrap().unwrap().status, StatusCode::OK);
+    }
+
+    a_closed_connection_cancels_the_work(dir) {
+        let process = start(&dir, "");
+        let work = spawn(&process, "/s/k1/x?work_us=60000000");
+        has_states(&dir, "/s/k1/x", &["started"]).await;
+        work.abort();
+        has_states(&dir, "/s/k1/x", &["started", "cancelled"]).await;
+    }
+
+    work_is_given_up_at_its_deadline(dir) {
+        let process = start(&dir, "");
+        let headers = [("tarragon-deadline-ms", "200")];
+        let path = "/s/k1/x?work_us=60000000";
+        let answer = support::call(process.addr, Method::GET, path, &headers, "").await.unwrap();
+        assert_eq!(answer.header("tarragon-refused"), "deadline");
+        has_states(&dir, "/s/k1/x", &["started", "aborted"]).await;
+    }
+
+    sigterm_records_the_end_and_sigkill_does_not(dir) {
+        let mut process = start(&dir, "");
+        let _work = spawn(&process, "/s/k1/term?work_us=60000000");
+        has_states(&dir, "/s/k1/term", &["started"]).await;
+        process.signal(Signal::TERM);
+        assert!(process.wait().success());
+        has_states(&dir, "/s/k1/term", &["started", "cancelled"]).await;
+        let mut process = start(&dir, "");
+        let _work = spawn(&process, "/s/k1/kill?work_us=60000000");
+        has_states(&dir, "/s/k1/kill", &["started"]).await;
+        process.signal(Signal::KILL);
+        process.wait();
+        has_states(&dir, "/s/k1/kill", &["started"]).await;
+    }
+
+    poison_ends_the_process(dir) {
+        let mut process = start(&dir, "");
+        assert!(call(&process, "/s/k1/x?poison=1").await.is_err());
+        assert!(!process.wait().success());
+        has_states(&dir, "/s/k1/x", &["started"]).await;
+    }
+
+    half_an_answer_is_an_error_of_the_caller(dir) {
+        let process = start(&dir, "");
+        process.fault(r#"{"kind":"half-answer"}"#).await;
+        for path in ["/s/k1/x", "/s/k1/x?bytes=1000000"] {
+            let response = open(process.addr, Method::GET, path, &[], "").await.unwrap();
+            assert_eq!(response.status(), StatusCode::OK);
+            assert!(response.into_body().collect().await.is_err());
+        }
+        let states = states(&dir.path(RECORD), "/s/k1/x");
+        assert_eq!(states, ["started", "committed", "started", "committed"]);
+    }
+
+    connections_beyond_the_limit_are_reset(dir) {
+        let process = start(&dir, "--connections 2");
+        let one = spawn(&process, "/s/k1/one?work_us=60000000");
+        let two = spawn(&process, "/s/k1/two?work_us=60000000");
+        has_states(&dir, "/s/k1/one", &["started"]).await;
+        has_states(&dir, "/s/k1/two", &["started"]).await;
+        assert!(call(&process, "/s/k1/three").await.is_err());
+        one.abort();
+        two.abort();
+        has_states(&dir, "/s/k1/one", &["started", "cancelled"]).await;
+        has_states(&dir, "/s/k1/two", &["started", "cancelled"]).await;
+        let again = async {
+            while call(&process, "/s/k1/four").await.is_err() {}
+        };
+        tokio::time::timeout(support::PATIENCE, again).await.unwrap();
+    }
+
+    draining_refuses_new_work_and_ends_the_old(dir) {
+        let process = start(&dir, "");
+        let old = spawn(&process, "/s/k1/old?work_us=1000000");
+        has_states(&dir, "/s/k1/old", &["started"]).await;
+        assert_eq!(process.post("/_drain", "").await.status, StatusCode::OK);
+        assert_eq!(process.get("/_health").await.json()["state"], "draining");
+        let new = call(&process, "/s/k1/new").await.unwrap();
+        assert_eq!(new.header("tarragon-refused"), "draining");
+        assert_eq!(old.await.unwrap().unwrap().status, StatusCode::OK);
+    }
+
+    faults_of_reports_leave_work_alone(dir) {
+        let process = start(&dir, "");
+        process.fault(r#"{"kind":"lie","running":77}"#).await;
+        process.fault(r#"{"kind":"hang"}"#).await;
+        assert_eq!(load(&process, "running").await, 77);
+        let health = spawn(&process, "/_health");
+        assert_eq!(call(&process, "/s/k1/x").await.unwrap().status, StatusCode::OK);
+        assert!(!health.is_finished());
+        process.fault(r#"{"kind":"shed"}"#).await;
+        let shed = call(&process, "/s/k1/y").await.unwrap();
+        assert_eq!(shed.header("tarragon-refused"), "shed");
+        process.fault(r#"{"kind":"none"}"#).await;
+        assert_eq!(call(&process, "/s/k1/z").await.unwrap().status, StatusCode::OK);
+    }
+}
