--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod observe;
 pub mod options;
+pub mod platform;
 pub mod probe;
 pub mod trace;
 pub mod verdict;
--- /dev/null
+++ b/crates/lab/src/platform/operator.rs
@@ -0,0 +1,126 @@
+//! Operators, who change the preset by conditional updates of the configuration.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tarragon_model::config::{Config, KIND, OBJECT, PresetName};
+use uuid::Uuid;
+
+use super::object::{ABSENT, Store, Write};
+use crate::clock;
+use crate::error::{Error, Result};
+use crate::trace::Accepted;
+use crate::verdict::config::IN_FORCE_US;
+
+/// Operators of one run.
+#[derive(Clone)]
+pub struct Operators {
+    store: Store,
+    accepted: Arc<Mutex<Vec<Accepted>>>,
+}
+
+impl Operators {
+    /// Creates the operators, who write to the store directly.
+    #[must_use]
+    pub fn new(store: Store) -> Self {
+        Self {
+            store,
+            accepted: Arc::default(),
+        }
+    }
+
+    /// Creates the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refuses.
+    pub async fn create(&self, config: &Config) -> Result<()> {
+        match self.store.put(KIND, OBJECT, ABSENT, config).await? {
+            Write::Accepted(_) => Ok(()),
+            Write::Conflict(version) => Err(conflict(version)),
+        }
+    }
+
+    /// Changes the preset, to the next one when none is named.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer, or when another operator was faster.
+    pub async fn change(&self, preset: Option<PresetName>) -> Result<()> {
+        let Some(object) = self.store.get(KIND, OBJECT).await? else {
+            return Err(conflict(ABSENT));
+        };
+        let parsed = serde_json::from_value(object.value);
+        let mut config: Config = parsed.map_err(|error| Error::Http {
+            step: "parse-config",
+            peer: "store".to_owned(),
+            cause: error.to_string(),
+        })?;
+        config.preset = preset.unwrap_or_else(|| next(config.preset));
+        config.token = Uuid::now_v7().to_string();
+        match self
+            .store
+            .put(KIND, OBJECT, object.version, &config)
+            .await?
+        {
+            Write::Accepted(version) => self.accept(version),
+            Write::Conflict(version) => return Err(conflict(version)),
+        }
+        Ok(())
+    }
+
+    /// Lets two operators change the preset at once; one of them must lose.
+    ///
+    /// # Errors
+    ///
+    /// Fails when neither change was accepted.
+    pub async fn race(&self) -> Result<()> {
+        let first = self.change(Some(PresetName::Peak));
+        let second = self.change(Some(PresetName::Maintenance));
+        let (first, second) = tokio::join!(first, second);
+        first.or(second)
+    }
+
+    /// Returns the accepted changes.
+    #[must_use]
+    pub fn accepted(&self) -> Vec<Accepted> {
+        self.accepted
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn accept(&self, version: u64) {
+        let at_us = clock::now_us();
+        let change = Accepted {
+            version,
+            at_us,
+            due_us: at_us + IN_FORCE_US,
+        };
+        self.accepted
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(change);
+    }
+}
+
+/// Parses the name of a preset.
+#[must_use]
+pub fn preset(name: &str) -> Option<PresetName> {
+    serde_json::from_value(name.into()).ok()
+}
+
+fn next(preset: PresetName) -> PresetName {
+    match preset {
+        PresetName::Ordinary => PresetName::Peak,
+        PresetName::Peak => PresetName::Maintenance,
+        PresetName::Maintenance => PresetName::Ordinary,
+    }
+}
+
+fn conflict(version: u64) -> Error {
+    Error::Http {
+        step: "put-config",
+        peer: "store".to_owned(),
+        cause: format!("conflict with version {version}"),
+    }
+}
