--- a/crates/lab/src/observe/mod.rs
+++ b/crates/lab/src/observe/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tarragon_timeline::event::Event;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
@@ -30,8 +31,8 @@
     pub statuses: Vec<Status>,
     /// Owners that acting leaders stated; repeated answers are left out.
     pub assignments: Vec<Assignment>,
-    /// Events of all hosts, as they were read.
-    pub events: Vec<serde_json::Value>,
+    /// Events of all hosts, in the order in which they were read.
+    pub events: Vec<Event>,
     /// Connections of the backend servers.
     pub connections: Vec<Connections>,
 }
@@ -56,6 +57,7 @@
     loop {
         ticks.tick().await;
         if let Ok(status) = state::status(&client, admin_addr).await {
+            cursor.follow(status.incarnation);
             samples.lists().statuses.push(status);
         }
         if let Ok(assignments) = state::assignments(&client, admin_addr).await {
--- a/crates/lab/src/probe.rs
+++ b/crates/lab/src/probe.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use tarragon_model::config::Config;
 use tarragon_model::key::Hash;
 use tarragon_model::outcome::Reason;
@@ -106,22 +107,33 @@
     let mut ticks = tokio::time::interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut open: Option<Gap> = None;
+    let mut failed: SmallVec<[String; 4]> = SmallVec::new();
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
         let start_us = clock::now_us();
-        let made = caller.attempt(&order, key.region).await;
+        let made = caller.attempt(&order, key.region, &failed).await;
         if let Some(made) = &made {
             caller.log.attempt(made);
         }
-        let served = made.as_ref().is_some_and(attempt::is_served);
-        if served {
+        if made.as_ref().is_some_and(attempt::is_served) {
+            failed.clear();
             close(&mut open, &gaps);
         } else if made.as_ref().is_none_or(|made| !is_overload(made)) {
+            note(&mut failed, made.as_ref());
             open.get_or_insert_with(|| gap(&key, start_us, made.as_ref()));
         }
     }
     close(&mut open, &gaps);
 }
 
+/// Remembers the hosts that failed, so that the next probe takes another one as a caller would.
+fn note(failed: &mut SmallVec<[String; 4]>, made: Option<&Attempt>) {
+    let Some(made) = made else { return };
+    if failed.contains(&made.host) {
+        failed.clear();
+    }
+    failed.push(made.host.clone());
+}
+
 fn close(open: &mut Option<Gap>, gaps: &Gaps) {
     if let Some(mut gap) = open.take() {
         gap.to_us = clock::now_us();
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -8,6 +8,8 @@
 
 use tarragon_model::outcome::Outcome;
 
+use crate::faults::Kind;
+
 /// Stage that one run of work on a backend server reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -310,3 +312,14 @@
     /// Open connections.
     pub count: u32,
 }
+
+/// Time for which a fault was active.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// What happened.
+    pub kind: Kind,
+    /// Start of the injection.
+    pub from_us: u64,
+    /// End of the fault, when all that it struck was back.
+    pub to_us: u64,
+}
--- a/crates/lab/src/verdict/outage.rs
+++ b/crates/lab/src/verdict/outage.rs
@@ -6,7 +6,7 @@
 use smallvec::smallvec;
 
 use super::Breach;
-use crate::trace::Gap;
+use crate::trace::{Gap, Span};
 
 /// Longest time for which a covered fault may keep a key from being served, in milliseconds.
 pub const PROMISE_MS: u64 = 4_000;
@@ -87,3 +87,27 @@
         max: values.iter().copied().max().unwrap_or_default(),
     }
 }
+
+/// Time after the end of a fault in which the system may still recover from it, in microseconds.
+pub const SETTLE_US: u64 = 5_000_000;
+
+/// States for each gap which faults were active and whether the promise covers it.
+///
+/// The promise covers one fault at a time that takes processes or paths away, next to any number
+/// of others.
+pub fn attribute(gaps: &mut [Gap], spans: &[Span]) {
+    for gap in gaps {
+        let active = spans
+            .iter()
+            .filter(|span| span.from_us <= gap.to_us && gap.from_us <= span.to_us + SETTLE_US);
+        let (mut disruptive, mut kinds) = (0, Vec::new());
+        for span in active {
+            disruptive += u32::from(span.kind.is_disruptive());
+            kinds.push(span.kind.name().to_owned());
+        }
+        kinds.sort();
+        kinds.dedup();
+        gap.faults = kinds;
+        gap.covered = disruptive <= 1;
+    }
+}
