--- /dev/null
+++ b/crates/lab/src/cli.rs
@@ -0,0 +1,120 @@
+//! Dispatch of the program's commands.
+
+use std::process::ExitCode;
+
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use crate::error::{Error, Result};
+use crate::faults::Kind;
+use crate::{demo, options, run, sweep};
+
+/// Exit code for a promise that broke or a run that failed.
+const FAILED: u8 = 1;
+/// Exit code for a bad command line or fault file.
+const USAGE: u8 = 2;
+
+const HELP: &str = "\
+Usage: lab COMMAND [OPTIONS]
+
+Commands:
+  run      run a whole system on loopback and judge the promises
+  sweep    run for several seeds, one after the other
+  demo     show a small system that survives the loss of a host and a backend server
+  standin  run a stand-in: store, backend or links
+  router   run a router
+
+Ask each command for --help.";
+
+/// Runs the command that the arguments name.
+#[must_use]
+pub fn main(args: &[String]) -> ExitCode {
+    let rest = args.get(1..).unwrap_or_default();
+    match args.first().map(String::as_str) {
+        Some("run") => finish(run_command(rest)),
+        Some("sweep") => finish(sweep_command(rest)),
+        Some("demo") => finish(demo_command(rest)),
+        Some("-h" | "--help" | "help") => {
+            println!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        _ => {
+            eprintln!("{HELP}");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn finish(result: Result<bool>) -> ExitCode {
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(FAILED),
+        Err(Error::Usage(what)) => {
+            eprintln!("lab: {what}");
+            ExitCode::from(USAGE)
+        }
+        Err(error) => {
+            eprintln!("lab: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn run_command(args: &[String]) -> Result<bool> {
+    let Some(options) = options::run(args)? else {
+        help("lab run");
+        return Ok(true);
+    };
+    interruptible(async |stop| {
+        let report = run::run(&options, &stop).await?;
+        report.print();
+        Ok(report.breaches.is_empty())
+    })
+}
+
+fn sweep_command(args: &[String]) -> Result<bool> {
+    let Some(options) = options::sweep(args)? else {
+        help("lab sweep");
+        return Ok(true);
+    };
+    interruptible(async |stop| sweep::sweep(&options, &stop).await)
+}
+
+fn demo_command(args: &[String]) -> Result<bool> {
+    if !args.is_empty() {
+        println!("Usage: lab demo\n\nTakes no options and ends in about 20 seconds.");
+        return Ok(true);
+    }
+    interruptible(async |stop| demo::demo(&stop).await.map(|()| true))
+}
+
+fn help(command: &str) {
+    println!("{}", options::usage(&format!("Usage: {command} [OPTIONS]")));
+    println!("Kinds of faults:");
+    for (kind, name, _) in Kind::ALL {
+        println!("  {name:20} {}", kind.effect());
+    }
+}
+
+/// Runs the work until it ends or the user interrupts.
+fn interruptible<T>(work: impl AsyncFnOnce(CancellationToken) -> Result<T>) -> Result<T> {
+    let runtime = runtime()?;
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        for kind in [SignalKind::interrupt(), SignalKind::terminate()] {
+            let mut signals = signal(kind).map_err(crate::error::io("signals", "self"))?;
+            let stop = stop.clone();
+            tokio::spawn(async move {
+                signals.recv().await;
+                stop.cancel();
+            });
+        }
+        work(stop).await
+    })
+}
+
+fn runtime() -> Result<Runtime> {
+    let built = Builder::new_multi_thread().enable_all().build();
+    built.map_err(crate::error::io("runtime", "self"))
+}
--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,176 @@
+//! A short demonstration: a small system loses a host and a backend server and goes on serving.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use tarragon_timeline::event::{Event, Kind};
+
+use crate::deployment::Deployment;
+use crate::error::{Error, Result};
+use crate::load::attempt;
+use crate::load::caller::Caller;
+use crate::options::{Faults, Load, Run};
+use crate::platform::list::Sight;
+use crate::probe;
+use crate::system::System;
+
+/// Hosts of the demonstration.
+const HOSTS: usize = 5;
+/// Keys that are shown.
+const KEYS: usize = 6;
+/// Time to look at the system after the last fault.
+const REST: Duration = Duration::from_secs(2);
+/// Longest time until the keys are served after a fault.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Pause between two requests for a key that is not served.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Shows the system at work.
+///
+/// # Errors
+///
+/// Fails when a process does not start or a key is not served again.
+pub async fn demo(stop: &CancellationToken) -> Result<()> {
+    let options = options();
+    let dir = std::env::temp_dir().join(format!("lab-demo-{}", std::process::id()));
+    let system = System::plan(&options, &dir)?;
+    let stop = stop.child_token();
+    let shown = stop
+        .run_until_cancelled(show(&options, &system, &stop))
+        .await;
+    stop.cancel();
+    system.fleet.stop();
+    // Nothing of value is lost when a file stays behind.
+    let _ = std::fs::remove_dir_all(&dir);
+    shown.unwrap_or(Err(Error::Interrupted))
+}
+
+fn options() -> Run {
+    Run {
+        deployment: Deployment::indus(),
+        seconds: 20,
+        seed: 1,
+        faults: Faults::None,
+        hosts: HOSTS,
+        policy: None,
+        load: Load::Factor(1.0),
+        report: None,
+        seeded_fault: None,
+        keep: false,
+    }
+}
+
+async fn show(options: &Run, system: &System, stop: &CancellationToken) -> Result<()> {
+    let servers = system.fleet.layout.servers.len();
+    println!("starting {HOSTS} hosts, {servers} backend servers, the store and the links");
+    system.start(stop).await?;
+    let caller = system.caller(&options.deployment);
+    let mut keys = system.probe_keys(&options.deployment);
+    keys.truncate(KEYS);
+    system.await_serving(&caller, &keys).await?;
+    println!("all hosts are ready; one request for each key:");
+    for key in &keys {
+        request(&caller, key).await;
+    }
+    lose_host(system, &caller, &keys).await?;
+    lose_server(system, &caller, &keys).await?;
+    tokio::time::sleep(REST).await;
+    time_line(system);
+    Ok(())
+}
+
+async fn request(caller: &Caller, key: &probe::Key) {
+    let Some(made) = caller.attempt(&probe::order(key), key.region, &[]).await else {
+        println!("  no host is ready");
+        return;
+    };
+    println!(
+        "  GET /{}/{} host={} served={} time_us={} {}",
+        made.service,
+        made.key,
+        made.host,
+        attempt::is_served(&made),
+        made.end_us - made.start_us,
+        made.reason
+    );
+}
+
+/// Kills the host that leads the shard of the first key.
+async fn lose_host(system: &System, caller: &Caller, keys: &[probe::Key]) -> Result<()> {
+    let leader = system.leader(&keys[0]).await;
+    let Some((host, child)) = leader.as_deref().and_then(|id| system.fleet.host(id)) else {
+        return Err(Error::Usage("no host leads the first key".to_owned()));
+    };
+    println!(
+        "killing host {}, which leads the shard of {}",
+        host.id, keys[0].text
+    );
+    child.kill();
+    system.list.set(&host.id, Sight::Gone);
+    recover(caller, keys).await
+}
+
+/// Kills the backend server that owns the first key.
+async fn lose_server(system: &System, caller: &Caller, keys: &[probe::Key]) -> Result<()> {
+    let owner = system.owner(&keys[0]).await;
+    let Some((server, child)) = owner.as_deref().and_then(|id| system.fleet.server(id)) else {
+        return Err(Error::Usage(
+            "no backend server owns the first key".to_owned(),
+        ));
+    };
+    println!(
+        "killing backend server {}, which owns {}",
+        server.declared.id, keys[0].text
+    );
+    child.kill();
+    recover(caller, keys).await
+}
+
+/// Asks for each key until it is served, and prints for how long it was not.
+async fn recover(caller: &Caller, keys: &[probe::Key]) -> Result<()> {
+    let start = Instant::now();
+    let waits = keys.iter().map(async |key| {
+        while !probe::once(caller, key).await {
+            if start.elapsed() > LIMIT {
+                return None;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Some(start.elapsed())
+    });
+    let times = futures::future::join_all(waits).await;
+    for (key, time) in keys.iter().zip(times) {
+        let Some(time) = time else {
+            return Err(Error::Timeout {
+                step: "recover",
+                peer: format!("{}/{}", key.service, key.text),
+                after_ms: LIMIT.as_millis(),
+            });
+        };
+        println!(
+            "  /{}/{} served again unavailable_ms={}",
+            key.service,
+            key.text,
+            time.as_millis()
+        );
+    }
+    Ok(())
+}
+
+/// Prints the merged events that tell what happened to leaders and owners.
+fn time_line(system: &System) {
+    println!("time line of the hosts:");
+    let events = std::mem::take(&mut system.samples.lists().events);
+    let told = |event: &Event| {
+        !matches!(
+            event.kind,
+            Kind::PeerConnected | Kind::RequestRefused | Kind::RequestRetried
+        )
+    };
+    let merged = tarragon_timeline::merge::merge(vec![events]);
+    for event in merged.iter().filter(|event| told(event)) {
+        println!("  {event}");
+    }
+}
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -32,6 +32,9 @@
 //! | `poison` | service or - | a request that ends each backend server which runs it |
 
 pub mod file;
+pub mod inject;
+pub mod journal;
+pub mod poison;
 pub mod schedule;
 
 use std::fmt;
@@ -155,6 +158,41 @@
         self.row().2
     }
 
+    /// Returns what the fault does, in words for the help text.
+    #[must_use]
+    pub fn effect(self) -> &'static str {
+        match self {
+            Self::HostKill => "SIGKILL, restarted under the same name after for_ms",
+            Self::HostFreeze => "SIGSTOP, SIGCONT after for_ms",
+            Self::HostDrain => "SIGTERM, restarted for_ms after its end",
+            Self::RollHosts => "all hosts replaced one by one",
+            Self::LinkCut => "nothing passes between them",
+            Self::LinkCutForward => "nothing passes from the first to the second",
+            Self::LinkCutBack => "nothing passes from the second to the first",
+            Self::Partition => "cut off from all other hosts",
+            Self::RegionCut => "cut off from all other regions and their backend servers",
+            Self::DomainKill => "all its hosts killed, restarted after for_ms",
+            Self::StoreDown => "the store refuses all calls",
+            Self::StoreSlow => "the store answers late",
+            Self::StoreStale => "reads and watches of the store lag",
+            Self::StoreLoseAnswers => "answers are lost after the write took effect",
+            Self::StoreCut => "one host cannot reach the store",
+            Self::ListLag => "the host list lags for long",
+            Self::ListWrong => "the host list states the contrary about the host",
+            Self::OperatorsRace => "two conditional updates of the preset at once",
+            Self::PresetChange => "an operator changes the preset",
+            Self::BackendKill => "SIGKILL, restarted after for_ms",
+            Self::BackendFreeze => "SIGSTOP, SIGCONT after for_ms",
+            Self::BackendDrain => "told to drain, restarted after for_ms",
+            Self::BackendShed => "refuses work before running it",
+            Self::BackendLie => "health and load endpoints mislead",
+            Self::BackendSlow => "runs work more slowly",
+            Self::BackendCold => "starts anew and warms up slowly",
+            Self::BackendHalfAnswer => "breaks connections within answers",
+            Self::Poison => "a request that ends each backend server which runs it",
+        }
+    }
+
     fn row(self) -> &'static (Self, &'static str, Scope) {
         let row = Self::ALL.iter().find(|(kind, _, _)| *kind == self);
         row.unwrap_or(&Self::ALL[0])
--- a/crates/lab/src/fleet/child.rs
+++ b/crates/lab/src/fleet/child.rs
@@ -33,6 +33,8 @@
     /// Latest time at which the current process is known to have lived.
     alive_us: u64,
     lives: Vec<(u64, u64)>,
+    /// Whether the process may not be started any more.
+    closed: bool,
 }
 
 impl State {
@@ -64,14 +66,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Starts the process unless it runs.
+    /// Starts the process unless it runs or was closed.
     ///
     /// # Errors
     ///
     /// Fails when the program or the log file cannot be opened.
     pub fn start(&self) -> Result<()> {
         let mut state = self.state();
-        if state.process.is_some() {
+        if state.process.is_some() || state.closed {
             return Ok(());
         }
         let program = std::env::current_exe().map_err(io("find-program", &self.name))?;
@@ -118,6 +120,12 @@
         state.end(at_us);
     }
 
+    /// Kills the process for good.
+    pub fn close(&self) {
+        self.state().closed = true;
+        self.kill();
+    }
+
     /// Looks at whether the process runs, and takes note of its end.
     pub fn is_running(&self) -> bool {
         let now_us = clock::now_us();
--- /dev/null
+++ b/crates/lab/src/fleet/command.rs
@@ -0,0 +1,83 @@
+//! Arguments with which this program starts itself again.
+
+use std::ffi::OsString;
+
+use super::layout::{Host, Layout, Server};
+use crate::deployment::SLOTS;
+
+/// Arguments that all routers share.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Router {
+    /// Policy.
+    pub policy: Option<String>,
+    /// Fault seeded into the router.
+    pub seeded_fault: Option<String>,
+}
+
+/// Returns the arguments of a host's router.
+#[must_use]
+pub fn host(layout: &Layout, host: &Host, router: &Router) -> Vec<OsString> {
+    let mut args = Args::new(&["router"]);
+    args.option("--settings", layout.settings_path(host));
+    if let Some(policy) = &router.policy {
+        args.option("--policy", policy);
+    }
+    if let Some(name) = &router.seeded_fault {
+        args.option("--seeded-fault", name);
+    }
+    args.list
+}
+
+/// Returns the arguments of a backend server.
+#[must_use]
+pub fn server(layout: &Layout, server: &Server) -> Vec<OsString> {
+    let mut args = Args::new(&["standin", "backend"]);
+    args.option("--service", &server.service);
+    args.option("--id", server.declared.id.as_str());
+    args.option("--addr", server.declared.addr.to_string());
+    args.option("--record", layout.record_path(server));
+    args.option("--slots", SLOTS.to_string());
+    args.option("--connections", server.connections.to_string());
+    args.option("--speed", server.speed_percent.to_string());
+    if server.checks_fences {
+        args.flag("--checks-fences");
+    }
+    args.list
+}
+
+/// Returns the arguments of the store.
+#[must_use]
+pub fn store(layout: &Layout) -> Vec<OsString> {
+    let mut args = Args::new(&["standin", "store"]);
+    args.option("--addr", layout.store_addr.to_string());
+    args.list
+}
+
+/// Returns the arguments of the fault proxy.
+#[must_use]
+pub fn links(layout: &Layout) -> Vec<OsString> {
+    let mut args = Args::new(&["standin", "links"]);
+    args.option("--addr", layout.links_addr.to_string());
+    args.option("--links", layout.links_path());
+    args.list
+}
+
+struct Args {
+    list: Vec<OsString>,
+}
+
+impl Args {
+    fn new(words: &[&str]) -> Self {
+        let list = words.iter().map(OsString::from).collect();
+        Self { list }
+    }
+
+    fn option(&mut self, name: &str, value: impl Into<OsString>) {
+        self.list.push(name.into());
+        self.list.push(value.into());
+    }
+
+    fn flag(&mut self, name: &str) {
+        self.list.push(name.into());
+    }
+}
--- a/crates/lab/src/fleet/layout.rs
+++ b/crates/lab/src/fleet/layout.rs
@@ -205,6 +205,12 @@
         self.path(&format!("settings-{}.json", host.id))
     }
 
+    /// Returns the path of the fault proxy's list of links.
+    #[must_use]
+    pub fn links_path(&self) -> PathBuf {
+        self.path("links.json")
+    }
+
     /// Writes the fleet's key and each host's settings.
     ///
     /// # Errors
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,8 +4,10 @@
 //! process for each host on loopback, puts load on them, injects faults and judges the promises
 //! from the backend servers' records and the callers' log.
 
+pub mod cli;
 pub mod client;
 pub mod clock;
+pub mod demo;
 pub mod deployment;
 pub mod error;
 pub mod faults;
@@ -15,5 +17,9 @@
 pub mod options;
 pub mod platform;
 pub mod probe;
+pub mod report;
+pub mod run;
+pub mod sweep;
+pub mod system;
 pub mod trace;
 pub mod verdict;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,2 +1,8 @@
-//! Placeholder.
-fn main() {}
+//! Stand-ins, load and experiments for tarragonthread.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    tarragon_lab::cli::main(&args)
+}
--- a/crates/lab/src/probe.rs
+++ b/crates/lab/src/probe.rs
@@ -102,6 +102,12 @@
     tracker.wait().await;
 }
 
+/// Probes a key once and tells whether it was served.
+pub async fn once(caller: &Caller, key: &Key) -> bool {
+    let made = caller.attempt(&order(key), key.region, &[]).await;
+    made.as_ref().is_some_and(attempt::is_served)
+}
+
 async fn watch(caller: Caller, key: Key, gaps: Gaps, stop: CancellationToken) {
     let order = order(&key);
     let mut ticks = tokio::time::interval(PERIOD);
@@ -159,7 +165,9 @@
     }
 }
 
-fn order(key: &Key) -> Order {
+/// Returns the request that probes a key.
+#[must_use]
+pub fn order(key: &Key) -> Order {
     Order {
         idempotent: true,
         service: key.service.clone(),
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,200 @@
+//! Collects the traces of a run, judges them and writes the report.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+
+use crate::error::Result;
+use crate::faults::inject;
+use crate::faults::journal::{Entries, Journal};
+use crate::fleet::layout::Layout;
+use crate::load::caller::Caller;
+use crate::observe::{Lists, event};
+use crate::options::Run;
+use crate::probe::Gaps;
+use crate::run;
+use crate::system::System;
+use crate::trace::{self, Accepted, Attempt, Gap, Span, Work};
+use crate::verdict::outage::Spread;
+use crate::verdict::summary::Summary;
+use crate::verdict::{Breach, answer, capacity, config, effect, leave, outage, owner};
+
+/// Everything that a run left behind.
+pub struct Traces {
+    works: Vec<Work>,
+    attempts: Vec<Attempt>,
+    gaps: Vec<Gap>,
+    samples: Lists,
+    accepted: Vec<Accepted>,
+    entries: Entries,
+    counts: Summary,
+}
+
+/// Verdict on a run.
+#[derive(Debug)]
+pub struct Report {
+    /// Figures.
+    pub summary: Summary,
+    /// Broken promises, the first first.
+    pub breaches: Vec<Breach>,
+    /// Gaps by the kinds of faults that were active.
+    pub gaps: BTreeMap<String, Spread>,
+    /// Longest gaps.
+    pub longest: Vec<Gap>,
+}
+
+/// Gaps that a report names.
+const LONGEST: usize = 5;
+
+impl Traces {
+    /// Collects the traces while the processes still run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a record file cannot be read.
+    pub fn collect(
+        system: &System,
+        caller: &Caller,
+        gaps: &Gaps,
+        journal: &Journal,
+    ) -> Result<Self> {
+        let texts = run::read_records(&system.fleet)?;
+        let mut works = trace::merge(texts.iter().flat_map(|text| text.lines()));
+        trace::close(&mut works, &system.fleet.lives());
+        let mut entries = journal.snapshot();
+        inject::mark_alone(&mut entries.hosts, &entries.spans);
+        let mut gaps = gaps.list();
+        outage::attribute(&mut gaps, &entries.spans);
+        let accepted = delayed(system.operators.accepted(), &entries.spans);
+        Ok(Self {
+            works,
+            attempts: caller.log.attempts(),
+            gaps,
+            samples: std::mem::take(&mut *system.samples.lists()),
+            accepted,
+            counts: counts(caller, &entries),
+            entries,
+        })
+    }
+}
+
+/// Gives a change more time when hosts could not reach the store.
+fn delayed(mut accepted: Vec<Accepted>, spans: &[Span]) -> Vec<Accepted> {
+    let hiding = || spans.iter().filter(|span| span.kind.hides_store());
+    for change in &mut accepted {
+        while let Some(span) = hiding().find(|span| delays(span, change)) {
+            change.due_us = span.to_us + config::IN_FORCE_US;
+        }
+    }
+    accepted
+}
+
+fn delays(span: &Span, change: &Accepted) -> bool {
+    let later = span.to_us + config::IN_FORCE_US > change.due_us;
+    later && span.from_us <= change.due_us && change.at_us <= span.to_us
+}
+
+fn counts(caller: &Caller, entries: &Entries) -> Summary {
+    let log = &caller.log;
+    let read = |counter: &std::sync::atomic::AtomicU64| counter.load(Ordering::Relaxed);
+    Summary {
+        requests: read(&log.requests),
+        served: read(&log.served),
+        refused: read(&log.refused),
+        unknown: read(&log.unknown),
+        skipped: read(&log.skipped),
+        p50_us: log.quantile(0.5),
+        p99_us: log.quantile(0.99),
+        weight_percent: log.weight_percent(),
+        faults: entries.spans.len() as u64,
+        faults_failed: entries.failed,
+        host_crashes: entries.crashes,
+        ..Summary::default()
+    }
+}
+
+/// Judges the traces of a run.
+#[must_use]
+pub fn judge(options: &Run, layout: &Layout, traces: &Traces) -> Report {
+    let config = &layout.config;
+    let mut summary = Summary {
+        deployment: options.deployment.name.to_owned(),
+        seed: options.seed,
+        ..traces.counts.clone()
+    };
+    let mut breaches = Vec::new();
+    let mut add = |found: Vec<Breach>| {
+        let count = found.len() as u64;
+        breaches.extend(found);
+        count
+    };
+    summary.wrong_owner = add(owner::wrong(&traces.works, config));
+    summary.double_run = add(effect::double(&traces.works, config));
+    summary.false_not_run = add(effect::false_not_run(&traces.works, &traces.attempts));
+    summary.broken_answers = add(answer::broken(&traces.attempts));
+    summary.config_reverts = add(config::reverts(&traces.samples.statuses, &traces.accepted));
+    let moves = event::moves(&traces.samples.events);
+    summary.lost_assignments = add(owner::lost(&traces.samples.assignments, &moves));
+    summary.over_slots = add(capacity::slots(&traces.works, config));
+    summary.over_connections = add(capacity::connections(&traces.samples.connections, config));
+    summary.cut_requests = add(leave::cut(&traces.attempts, &traces.entries.hosts));
+    let (kills, found) = effect::poison_kills(&traces.works, &traces.entries.poisons);
+    summary.poison_kills_max = kills;
+    add(found);
+    let (latest, found) = leave::new_work(&traces.works, &traces.entries.servers);
+    summary.leaver_new_work_ms = latest;
+    add(found);
+    let (longest, found) = outage::unavailable(&traces.gaps);
+    summary.unavailable_ms_max = longest;
+    add(found);
+    let found = config::invariants(&traces.samples.statuses);
+    summary.invariants = found.iter().map(|(count, _)| count).sum();
+    add(found.into_iter().map(|(_, breach)| breach).collect());
+    summary.uncovered_ms_max = longest_uncovered(&traces.gaps);
+    breaches.sort_by_key(|breach| breach.at_us);
+    Report {
+        summary,
+        breaches,
+        gaps: outage::by_kind(&traces.gaps),
+        longest: longest_gaps(&traces.gaps),
+    }
+}
+
+fn longest_uncovered(gaps: &[Gap]) -> u64 {
+    let uncovered = gaps.iter().filter(|gap| !gap.covered);
+    uncovered.map(Gap::millis).max().unwrap_or_default()
+}
+
+fn longest_gaps(gaps: &[Gap]) -> Vec<Gap> {
+    let mut sorted = gaps.to_vec();
+    sorted.sort_by_key(|gap| std::cmp::Reverse(gap.millis()));
+    sorted.truncate(LONGEST);
+    sorted
+}
+
+impl Report {
+    /// Prints the report; its last line holds all figures.
+    pub fn print(&self) {
+        for (kind, spread) in &self.gaps {
+            println!(
+                "gaps faults={kind} count={} p50_ms={} p99_ms={} max_ms={}",
+                spread.count, spread.p50, spread.p99, spread.max
+            );
+        }
+        for gap in &self.longest {
+            println!(
+                "gap_ms={} covered={} key={}/{} from_us={} faults={} first: {}",
+                gap.millis(),
+                gap.covered,
+                gap.service,
+                gap.key,
+                gap.from_us,
+                gap.faults.join("+"),
+                gap.first
+            );
+        }
+        if let Some(first) = self.breaches.first() {
+            println!("first {first}");
+        }
+        println!("{}", self.summary);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,151 @@
+//! One run: starts the system, puts load and faults on it, ends it and judges it.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::client::Client;
+use crate::error::{Error, Result, io};
+use crate::faults::inject::Injector;
+use crate::faults::journal::Journal;
+use crate::faults::{Fault, Field, file, schedule};
+use crate::fleet::Fleet;
+use crate::load::{self, Generator};
+use crate::options::{Faults, Load, Run};
+use crate::probe::{self, Gaps};
+use crate::report::{self, Report};
+use crate::system::System;
+
+/// Longest time that open requests and faults get at the end of a run.
+const END_LIMIT: Duration = Duration::from_secs(20);
+
+/// Runs a whole system and judges it.
+///
+/// # Errors
+///
+/// Fails when the fault file is wrong, when a process does not start, or when interrupted. All
+/// processes have ended when this returns.
+pub async fn run(options: &Run, stop: &CancellationToken) -> Result<Report> {
+    let dir = directory(options);
+    let system = System::plan(options, &dir)?;
+    let faults = faults(options, &system.fleet.layout.field())?;
+    let stop = stop.child_token();
+    let run = execute(options, &system, faults, &stop);
+    let result = stop.run_until_cancelled(run).await;
+    let result = result.unwrap_or(Err(Error::Interrupted));
+    stop.cancel();
+    system.fleet.stop();
+    let report = result.map(|traces| report::judge(options, &system.fleet.layout, &traces));
+    let clean = report
+        .as_ref()
+        .is_ok_and(|report| report.breaches.is_empty());
+    if options.report.is_none() && !options.keep && clean {
+        // Nothing of value is lost when a file stays behind.
+        let _ = std::fs::remove_dir_all(&dir);
+    } else {
+        println!("files={}", dir.display());
+    }
+    report
+}
+
+fn directory(options: &Run) -> PathBuf {
+    let name = format!(
+        "lab-{}-{}-{}",
+        options.deployment.name,
+        options.seed,
+        std::process::id()
+    );
+    let parent = options.report.clone().unwrap_or_else(std::env::temp_dir);
+    parent.join(name)
+}
+
+fn faults(options: &Run, field: &Field) -> Result<Vec<Fault>> {
+    match &options.faults {
+        Faults::None => Ok(Vec::new()),
+        Faults::Random => Ok(schedule::draw(options.seed, options.seconds, field)),
+        Faults::File(path) => {
+            let name = path.display();
+            let text = std::fs::read_to_string(path);
+            let text = text.map_err(|error| Error::Usage(format!("{name}: {error}")))?;
+            file::parse(&text, field).map_err(|mistake| Error::Usage(format!("{name}: {mistake}")))
+        }
+    }
+}
+
+async fn execute(
+    options: &Run,
+    system: &System,
+    faults: Vec<Fault>,
+    stop: &CancellationToken,
+) -> Result<report::Traces> {
+    system.start(stop).await?;
+    let caller = system.caller(&options.deployment);
+    let keys = system.probe_keys(&options.deployment);
+    system.await_serving(&caller, &keys).await?;
+    let load_stop = stop.child_token();
+    let gaps = Gaps::default();
+    let journal = Journal::default();
+    let rate = match options.load {
+        Load::Rate(rate) => rate,
+        Load::Factor(factor) => load::RATE * factor,
+    };
+    let deployment = Arc::new(options.deployment.clone());
+    let generator = Generator::new(
+        deployment,
+        caller.clone(),
+        rate,
+        options.seed,
+        options.seconds,
+    );
+    let load = tokio::spawn(generator.run(options.seed, load_stop.clone()));
+    let probes = probe::run(caller.clone(), keys, gaps.clone(), load_stop.clone());
+    let probes = tokio::spawn(probes);
+    system.supervise(&journal, stop);
+    let injector = injector(options, system, caller.clone(), journal.clone());
+    let injection = tokio::spawn(injector.run(faults, stop.child_token()));
+    tokio::time::sleep(Duration::from_secs(options.seconds)).await;
+    // A fault that outlasts the run is cut short by the end of the processes.
+    let _ = tokio::time::timeout(END_LIMIT, injection).await;
+    load_stop.cancel();
+    let _ = tokio::time::timeout(END_LIMIT, async { tokio::join!(load, probes) }).await;
+    report::Traces::collect(system, &caller, &gaps, &journal)
+}
+
+fn injector(
+    options: &Run,
+    system: &System,
+    caller: load::caller::Caller,
+    journal: Journal,
+) -> Injector {
+    let client = Client::new();
+    Injector {
+        deployment: Arc::new(options.deployment.clone()),
+        fleet: Arc::clone(&system.fleet),
+        client: client.clone(),
+        control: crate::fleet::control::Control::new(client, &system.fleet.layout),
+        list: system.list.clone(),
+        operators: system.operators.clone(),
+        caller,
+        journal,
+    }
+}
+
+/// Reads a record file; a backend server that never ran left none.
+///
+/// # Errors
+///
+/// Fails when the file exists but cannot be read.
+pub fn read_records(fleet: &Fleet) -> Result<Vec<String>> {
+    let mut texts = Vec::new();
+    for server in &fleet.layout.servers {
+        let path = fleet.layout.record_path(server);
+        match std::fs::read(&path) {
+            Ok(bytes) => texts.push(String::from_utf8_lossy(&bytes).into_owned()),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => {}
+            Err(error) => return Err(io("read-records", path.display().to_string())(error)),
+        }
+    }
+    Ok(texts)
+}
--- /dev/null
+++ b/crates/lab/src/system.rs
@@ -0,0 +1,234 @@
+//! A whole system of processes, with the platform and the samples around it.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use tokio::time::{Instant, MissedTickBehavior};
+use tokio_util::sync::CancellationToken;
+
+use crate::client::Client;
+use crate::deployment::{Deployment, Use};
+use crate::error::{Error, Result};
+use crate::faults::journal::Journal;
+use crate::fleet::layout::Layout;
+use crate::fleet::{Fleet, command};
+use crate::load::balancer::{Balancer, Target};
+use crate::load::caller::Caller;
+use crate::observe::Samples;
+use crate::observe::socket::{self, Listener};
+use crate::options::Run;
+use crate::platform::list::{List, Sight};
+use crate::platform::object::Store;
+use crate::platform::operator::Operators;
+use crate::probe;
+
+/// Longest time until all keys are served after the start.
+const SERVING_LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks at the backend servers.
+const WATCH: Duration = Duration::from_millis(10);
+/// Time after which the platform starts a process again that ended on its own.
+const RESTART: Duration = Duration::from_secs(1);
+
+/// System of one run.
+pub struct System {
+    /// Processes.
+    pub fleet: Arc<Fleet>,
+    /// Host list of the platform.
+    pub list: List,
+    /// Operators.
+    pub operators: Operators,
+    /// Samples.
+    pub samples: Samples,
+    client: Client,
+    store: Store,
+    balancer: Balancer,
+    serial: Arc<AtomicU64>,
+    log: Arc<crate::load::log::Log>,
+}
+
+impl System {
+    /// Plans the system and writes its files.
+    ///
+    /// # Errors
+    ///
+    /// Fails when ports run out or a file cannot be written.
+    pub fn plan(options: &Run, dir: &Path) -> Result<Self> {
+        let layout = Layout::plan(&options.deployment, options.hosts, options.seed, dir)?;
+        layout.write(options.seed)?;
+        let router = command::Router {
+            policy: options.policy.clone(),
+            seeded_fault: options.seeded_fault.clone(),
+        };
+        let targets = layout.hosts.iter().map(|host| {
+            Target::new(
+                &host.id,
+                &host.place.region,
+                host.caller_addr,
+                host.admin_addr,
+            )
+        });
+        let balancer = Balancer::new(targets.collect());
+        let client = Client::new();
+        let store = Store::new(client.clone(), layout.store_addr);
+        Ok(Self {
+            fleet: Arc::new(Fleet::new(layout, &router)),
+            list: List::default(),
+            operators: Operators::new(store.clone()),
+            samples: Samples::default(),
+            client,
+            store,
+            balancer,
+            serial: Arc::default(),
+            log: Arc::default(),
+        })
+    }
+
+    /// Starts everything and waits until each probed key is served.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or a key is not served in time.
+    pub async fn start(&self, stop: &CancellationToken) -> Result<()> {
+        self.fleet.start_platform(&self.client).await?;
+        self.operators.create(&self.fleet.layout.config).await?;
+        for host in &self.fleet.layout.hosts {
+            self.list.set(&host.id, Sight::Live);
+        }
+        self.list
+            .publish(self.store.clone(), &self.fleet.layout.hosts, stop);
+        self.fleet.start_hosts()?;
+        self.balancer.watch(&self.client, stop);
+        for host in &self.fleet.layout.hosts {
+            self.fleet.await_ready(&self.client, host).await?;
+            self.samples.watch(&self.client, host.admin_addr, stop);
+        }
+        socket::watch(self.listeners(), self.samples.clone(), stop);
+        Ok(())
+    }
+
+    /// Waits until a caller is served at each key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one of them is not served in time.
+    pub async fn await_serving(&self, caller: &Caller, keys: &[probe::Key]) -> Result<()> {
+        let start = Instant::now();
+        for key in keys {
+            while !probe::once(caller, key).await {
+                if start.elapsed() > SERVING_LIMIT {
+                    return Err(Error::Timeout {
+                        step: "serve",
+                        peer: format!("{}/{}", key.service, key.text),
+                        after_ms: start.elapsed().as_millis(),
+                    });
+                }
+                tokio::time::sleep(WATCH).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Creates the callers' side.
+    #[must_use]
+    pub fn caller(&self, deployment: &Deployment) -> Caller {
+        Caller {
+            client: volo_http::client::Client::default(),
+            balancer: self.balancer.clone(),
+            log: Arc::clone(&self.log),
+            serial: Arc::clone(&self.serial),
+            distance: Duration::from_micros(deployment.caller_us / 2),
+        }
+    }
+
+    /// Returns the keys to probe.
+    #[must_use]
+    pub fn probe_keys(&self, deployment: &Deployment) -> Vec<probe::Key> {
+        let config = &self.fleet.layout.config;
+        let service = deployment.service(Use::Read);
+        service.map_or_else(Vec::new, |service| {
+            probe::keys(deployment, config, service, probe::KEYS)
+        })
+    }
+
+    /// Returns the host that leads the shard of a key, as the hosts see it.
+    pub async fn leader(&self, key: &probe::Key) -> Option<String> {
+        let leader = self.explain(key, "leader").await?;
+        let host = leader
+            .split_once('#')
+            .map_or(leader.as_str(), |(host, _)| host);
+        Some(host.to_owned())
+    }
+
+    /// Returns the backend server that owns a key, as the hosts see it.
+    pub async fn owner(&self, key: &probe::Key) -> Option<String> {
+        self.explain(key, "owner").await
+    }
+
+    /// Asks the hosts in turn until one knows.
+    async fn explain(&self, key: &probe::Key, field: &str) -> Option<String> {
+        let path = format!("/explain?service={}&key={}", key.service, key.text);
+        for host in &self.fleet.layout.hosts {
+            let answer: Result<serde_json::Value> = self.client.json(host.admin_addr, &path).await;
+            let Ok(answer) = answer else { continue };
+            let value = &answer[field];
+            let host = value.get("host").unwrap_or(value);
+            if let Some(text) = host.as_str() {
+                return Some(text.to_owned());
+            }
+        }
+        None
+    }
+
+    /// Starts processes again that ended on their own, until cancelled.
+    pub fn supervise(&self, journal: &Journal, stop: &CancellationToken) {
+        let (fleet, journal) = (Arc::clone(&self.fleet), journal.clone());
+        tokio::spawn(
+            stop.clone()
+                .run_until_cancelled_owned(supervise(fleet, journal)),
+        );
+    }
+
+    fn listeners(&self) -> Vec<Listener> {
+        let servers = self.fleet.layout.servers.iter();
+        let listener = servers.map(|server| Listener {
+            port: server.declared.addr.port(),
+            service: server.service.clone(),
+            backend: server.declared.id.to_string(),
+        });
+        listener.collect()
+    }
+}
+
+async fn supervise(fleet: Arc<Fleet>, journal: Journal) {
+    let mut ticks = tokio::time::interval(WATCH);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for name in fleet.ended() {
+            if !journal.is_held(&name) {
+                revive(&fleet, &journal, name);
+            }
+        }
+    }
+}
+
+/// Starts a process again after the platform's pause.
+fn revive(fleet: &Arc<Fleet>, journal: &Journal, name: String) {
+    let guard = journal.hold(&name);
+    if fleet.host(&name).is_some() {
+        journal.crashed();
+        log::error!("event=host-crashed host={name}");
+    }
+    let fleet = Arc::clone(fleet);
+    tokio::spawn(async move {
+        tokio::time::sleep(RESTART).await;
+        if let Some(child) = fleet.process(&name)
+            && let Err(error) = child.start()
+        {
+            log::error!("event=restart-failed {error}");
+        }
+        drop(guard);
+    });
+}
--- a/crates/lab/src/verdict/config.rs
+++ b/crates/lab/src/verdict/config.rs
@@ -109,3 +109,28 @@
         )],
     }
 }
+
+/// Returns each violation of the program's own invariants, with how often it was counted.
+#[must_use]
+pub fn invariants(samples: &[Status]) -> Vec<(u64, Breach)> {
+    let mut latest: BTreeMap<(&str, u64, &str), (&Status, u64)> = BTreeMap::new();
+    for sample in samples {
+        for (name, count) in sample.invariants.iter().filter(|(_, count)| **count > 0) {
+            let id = (sample.host.as_str(), sample.incarnation, name.as_str());
+            let entry = latest.entry(id).or_insert((sample, *count));
+            entry.1 = entry.1.max(*count);
+        }
+    }
+    let breach = |((host, incarnation, name), (first, count)): (_, (&Status, u64))| {
+        let line = format!("incarnation={incarnation} count={count}");
+        let breach = Breach {
+            at_us: first.read_us,
+            promise: "invariants",
+            key: str::to_owned(name),
+            parties: smallvec![str::to_owned(host)],
+            evidence: smallvec![line],
+        };
+        (count, breach)
+    };
+    latest.into_iter().map(breach).collect()
+}
--- a/crates/lab/src/verdict/summary.rs
+++ b/crates/lab/src/verdict/summary.rs
@@ -19,6 +19,8 @@
     pub refused: u64,
     /// Attempts whose fate the caller does not know.
     pub unknown: u64,
+    /// Requests that callers did not make because too many were open.
+    pub skipped: u64,
     /// Median time of short requests, in microseconds.
     pub p50_us: u64,
     /// 99th percentile of the time of short requests, in microseconds.
@@ -53,6 +55,8 @@
     pub cut_requests: u64,
     /// Violations of the program's own invariants.
     pub invariants: u64,
+    /// Routers that ended on their own.
+    pub host_crashes: u64,
     /// Faults that were injected.
     pub faults: u64,
     /// Faults that could not be injected.
@@ -72,12 +76,13 @@
 impl Summary {
     /// Returns each figure with its name.
     #[must_use]
-    pub fn figures(&self) -> [(&'static str, u64); 24] {
+    pub fn figures(&self) -> [(&'static str, u64); 26] {
         [
             ("requests", self.requests),
             ("served", self.served),
             ("refused", self.refused),
             ("unknown", self.unknown),
+            ("skipped", self.skipped),
             ("p50_us", self.p50_us),
             ("p99_us", self.p99_us),
             ("weight_percent", self.weight_percent),
@@ -95,6 +100,7 @@
             ("leaver_new_work_ms", self.leaver_new_work_ms),
             ("cut_requests", self.cut_requests),
             ("invariants", self.invariants),
+            ("host_crashes", self.host_crashes),
             ("faults", self.faults),
             ("faults_failed", self.faults_failed),
             ("breaches", self.breach_total()),
@@ -114,6 +120,7 @@
             + self.over_connections
             + self.cut_requests
             + self.invariants
+            + self.host_crashes
     }
 }
 
--- a/crates/lab/tests/run_verdict.rs
+++ b/crates/lab/tests/run_verdict.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use tarragon_lab::faults::Kind;
 use tarragon_lab::trace::{self, *};
 use tarragon_lab::verdict::{Breach, answer, capacity, config, effect, leave, outage, owner};
 use tarragon_model::config::{Config, Service, Shard};
@@ -432,3 +433,56 @@
         (Stage::Committed, Some(9))
     );
 }
+
+fn span(kind: Kind, from_us: u64, to_us: u64) -> Span {
+    Span {
+        kind,
+        from_us,
+        to_us,
+    }
+}
+
+fn covered(spans: &[Span]) -> bool {
+    let mut gaps = [Gap {
+        service: String::new(),
+        key: String::new(),
+        from_us: 100,
+        to_us: 200,
+        first: String::new(),
+        faults: Vec::new(),
+        covered: false,
+    }];
+    outage::attribute(&mut gaps, spans);
+    gaps[0].covered
+}
+
+/// Names one case: faults, and whether the promise covers a gap next to them.
+macro_rules! coverage {
+    ($name:ident, $covered:literal, $($span:expr),*) => {
+        #[test]
+        fn $name() {
+            assert_eq!(covered(&[$($span),*]), $covered);
+        }
+    };
+}
+
+coverage!(calm_is_covered, true,);
+coverage!(one_loss_is_covered, true, span(Kind::HostKill, 90, 300));
+coverage!(
+    loss_without_store_is_covered,
+    true,
+    span(Kind::HostKill, 90, 300),
+    span(Kind::StoreDown, 0, 900)
+);
+coverage!(
+    two_losses_are_not_covered,
+    false,
+    span(Kind::HostKill, 90, 300),
+    span(Kind::HostFreeze, 10, 95)
+);
+coverage!(
+    later_loss_does_not_count,
+    true,
+    span(Kind::HostKill, 90, 300),
+    span(Kind::HostFreeze, 201, 900)
+);
