Test the lease protocol with random schedules of faults

Cause: the promises of the lease crate were unproven. Ruled out: a cluster simulator; a driver in the test file suffices. Change: members, a fake store and a lossy network under one true time; flaws that break a rule on purpose.

--- /dev/null
+++ b/crates/lease/tests/common/mod.rs
@@ -0,0 +1,698 @@
+//! Several members, a fake store and a lossy network under one true time.
+
+#![allow(dead_code)]
+
+pub mod rng;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use rng::Rng;
+use serde::{Deserialize, Serialize};
+use tarragon_lease::flaw::Flaw;
+use tarragon_lease::proposal::Fate;
+use tarragon_lease::{Member, Message, Output, Role, State};
+use tarragon_model::fence::Fence;
+use tarragon_model::host::{Id, Peer};
+use tarragon_model::record::{Record, Trio};
+use tarragon_model::shard;
+use tarragon_model::time::Instant;
+
+pub const MS: u64 = 1_000;
+
+/// Values appended, in order.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Values(pub Vec<u64>);
+
+impl State for Values {
+    type Entry = u64;
+
+    fn apply(&mut self, entry: &u64) {
+        self.0.push(*entry);
+    }
+}
+
+enum Event {
+    Tick {
+        to: usize,
+    },
+    Deliver {
+        to: usize,
+        from: Peer,
+        message: Message<Values>,
+    },
+    Learn {
+        to: usize,
+        record: Record,
+    },
+    Gone {
+        to: usize,
+        peer: Peer,
+    },
+    StoreRead {
+        from: usize,
+    },
+    StoreWrite {
+        from: usize,
+        write: Write,
+    },
+    Written {
+        to: usize,
+        write: Write,
+        record: Option<Record>,
+    },
+    Fault(Fault),
+}
+
+/// What happens to the processes from outside.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    Kill(usize),
+    /// Starts a new incarnation, which proves to all that the old one is gone.
+    Restart(usize),
+    /// An operator declares the killed process of a host lost.
+    DeclareLost(usize),
+    Freeze {
+        host: usize,
+        micros: u64,
+    },
+    Cut {
+        from: usize,
+        to: usize,
+        micros: u64,
+    },
+    Isolate {
+        host: usize,
+        micros: u64,
+    },
+    StoreDown {
+        micros: u64,
+    },
+    /// Cuts whoever may act off its standbys, but not off other processes.
+    Shun {
+        micros: u64,
+    },
+    KillActor,
+    Resign,
+    Propose,
+    Append,
+}
+
+#[derive(Clone, Debug)]
+struct Write {
+    epoch: u64,
+    trio: Trio,
+    token: String,
+    attempt: u32,
+}
+
+/// How unkind the network and the store are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Network {
+    pub loss_percent: u64,
+    pub duplicate_percent: u64,
+    pub late_percent: u64,
+    pub store_lost_percent: u64,
+    pub delay_max: u64,
+}
+
+struct Process {
+    peer: Peer,
+    alive: bool,
+    frozen_until: u64,
+    offset: u64,
+    rate_ppm: u64,
+    member: Option<Member<Values>>,
+    /// Entries of this process that are not committed yet, by their number.
+    waiting: BTreeMap<u64, u64>,
+    write: Option<String>,
+    tick_at: u64,
+}
+
+impl Process {
+    fn local(&self, now: u64) -> Instant {
+        Instant::from_micros(self.offset + now * self.rate_ppm / 1_000_000)
+    }
+
+    fn true_time(&self, local: Instant) -> u64 {
+        local.as_micros().saturating_sub(self.offset) * 1_000_000 / self.rate_ppm + 1
+    }
+}
+
+/// What a schedule has shown.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub reigns: u64,
+    pub successions: u64,
+    pub incomplete: u64,
+    pub committed: u64,
+}
+
+pub struct World {
+    pub now: u64,
+    pub network: Network,
+    pub rng: Rng,
+    pub record: Record,
+    pub tally: Tally,
+    pub began: Vec<(u64, Fence, Peer)>,
+    /// Whether killed or silent standbys are replaced and vacant shards taken over.
+    pub repair: bool,
+    pub store_lose_next: u32,
+    /// First violation seen.
+    pub broken: Option<String>,
+    processes: Vec<Process>,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    pending: BTreeMap<u64, Event>,
+    serial: u64,
+    store_down_until: u64,
+    cuts: BTreeMap<(usize, usize), u64>,
+    committed: BTreeSet<u64>,
+    flaw: Option<Flaw>,
+}
+
+impl World {
+    pub fn new(seed: u64, hosts: usize, network: Network, flaw: Option<Flaw>) -> Self {
+        let mut rng = Rng::new(seed);
+        let peer = |host: usize| Peer::new(Id::new(&format!("h{host}")), 1);
+        let processes: Vec<Process> = (0..hosts)
+            .map(|host| Process {
+                peer: peer(host),
+                alive: true,
+                frozen_until: 0,
+                offset: rng.range(0..5_000_000),
+                rate_ppm: rng.range(950_000..1_050_001),
+                member: None,
+                waiting: BTreeMap::new(),
+                write: None,
+                tick_at: u64::MAX,
+            })
+            .collect();
+        let trio = Trio {
+            leader: peer(0),
+            first: peer(1),
+            second: peer(2),
+        };
+        let record = Record {
+            epoch: 1,
+            fence: Fence::new(1, 0),
+            index: 0,
+            token: "initial".to_owned(),
+            trio,
+            owners: Vec::new(),
+            overrides: Vec::new(),
+        };
+        let mut world = Self {
+            now: 0,
+            network,
+            rng,
+            record: record.clone(),
+            tally: Tally::default(),
+            began: Vec::new(),
+            repair: true,
+            store_lose_next: 0,
+            broken: None,
+            processes,
+            events: BinaryHeap::new(),
+            pending: BTreeMap::new(),
+            serial: 0,
+            store_down_until: 0,
+            cuts: BTreeMap::new(),
+            committed: BTreeSet::new(),
+            flaw,
+        };
+        for to in 0..hosts {
+            let at = world.rng.range(0..20 * MS);
+            world.schedule(
+                at,
+                Event::Learn {
+                    to,
+                    record: record.clone(),
+                },
+            );
+            world.schedule(at + 300 * MS, Event::StoreRead { from: to });
+        }
+        world
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.serial += 1;
+        self.events.push(Reverse((at, self.serial)));
+        self.pending.insert(self.serial, event);
+    }
+
+    pub fn fault(&mut self, at: u64, fault: Fault) {
+        self.schedule(at, Event::Fault(fault));
+    }
+
+    /// Runs all events before `end`, or up to the first violation.
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(&Reverse((at, serial))) = self.events.peek() {
+            if at >= end || self.broken.is_some() {
+                break;
+            }
+            self.events.pop();
+            self.now = at;
+            let event = self.pending.remove(&serial).unwrap();
+            self.step(event);
+            self.check_single_actor();
+        }
+        self.now = self.now.max(end);
+    }
+
+    /// Returns the hosts whose process may act now.
+    pub fn actors(&self) -> Vec<usize> {
+        let acting = |process: &Process| {
+            let member = process.member.as_ref();
+            process.alive && member.is_some_and(|member| member.may_act(process.local(self.now)))
+        };
+        (0..self.processes.len())
+            .filter(|&host| acting(&self.processes[host]))
+            .collect()
+    }
+
+    pub fn role(&self, host: usize) -> Role {
+        self.processes[host]
+            .member
+            .as_ref()
+            .map_or(Role::Outside, Member::role)
+    }
+
+    fn check_single_actor(&mut self) {
+        let actors = self.actors();
+        if actors.len() > 1 {
+            self.break_with(&format!("hosts {actors:?} may act at once"));
+        }
+    }
+
+    fn break_with(&mut self, text: &str) {
+        let now = self.now;
+        self.broken.get_or_insert(format!("at {now} us: {text}"));
+    }
+
+    fn step(&mut self, event: Event) {
+        let to = match &event {
+            Event::Tick { to }
+            | Event::Deliver { to, .. }
+            | Event::Learn { to, .. }
+            | Event::Gone { to, .. }
+            | Event::Written { to, .. }
+            | Event::StoreRead { from: to } => Some(*to),
+            Event::StoreWrite { .. } | Event::Fault(_) => None,
+        };
+        if let Some(to) = to {
+            let process = &self.processes[to];
+            if !process.alive {
+                return;
+            }
+            if process.frozen_until > self.now {
+                let thaw = process.frozen_until;
+                self.schedule(thaw, event);
+                return;
+            }
+        }
+        match event {
+            Event::Tick { to } => self.act(to, Member::tick),
+            Event::Deliver { to, from, message } => self.deliver(to, &from, message),
+            Event::Learn { to, record } => self.learn(to, &record),
+            Event::Gone { to, peer } => {
+                self.act(to, |member, now, out| member.gone(now, &peer, out));
+            }
+            Event::StoreRead { from } => {
+                self.read(from);
+                let again = self.now + self.rng.range(400 * MS..900 * MS);
+                self.schedule(again, Event::StoreRead { from });
+            }
+            Event::StoreWrite { from, write } => self.store_write(from, write),
+            Event::Written { to, write, record } => self.written(to, write, record),
+            Event::Fault(fault) => self.inflict(fault),
+        }
+    }
+
+    /// Calls a member and carries out what it asks for.
+    fn act(
+        &mut self,
+        host: usize,
+        call: impl FnOnce(&mut Member<Values>, Instant, &mut Vec<Output<Values>>),
+    ) {
+        let process = &mut self.processes[host];
+        let now = process.local(self.now);
+        let Some(member) = &mut process.member else {
+            return;
+        };
+        let mut out = Vec::new();
+        call(member, now, &mut out);
+        if member.role() != Role::Leader {
+            process.waiting.clear();
+        }
+        let next = member.next_tick(now);
+        let at = process.true_time(next).max(self.now + 1);
+        if process.tick_at <= self.now || at < process.tick_at {
+            process.tick_at = at;
+            self.schedule(at, Event::Tick { to: host });
+        }
+        for output in out {
+            self.carry_out(host, output);
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, output: Output<Values>) {
+        match output {
+            Output::Send { to, message } => self.send(host, &to, &message),
+            Output::Write { epoch, trio } => {
+                self.serial += 1;
+                let token = format!("{}/{}", self.processes[host].peer, self.serial);
+                self.processes[host].write = Some(token.clone());
+                let at = self.now + self.store_delay();
+                let write = Write {
+                    epoch,
+                    trio,
+                    token,
+                    attempt: 0,
+                };
+                self.schedule(at, Event::StoreWrite { from: host, write });
+            }
+            Output::Began { fence, complete } => self.on_began(host, fence, complete),
+            Output::Ended { .. } => {}
+            Output::Committed { index } => {
+                let waiting = &mut self.processes[host].waiting;
+                let later = waiting.split_off(&(index + 1));
+                for value in std::mem::replace(waiting, later).into_values() {
+                    self.tally.committed += 1;
+                    self.committed.insert(value);
+                }
+            }
+            Output::Suspect { .. } | Output::Vacant { .. } => {
+                if self.repair {
+                    self.propose(host);
+                }
+            }
+        }
+    }
+
+    fn on_began(&mut self, host: usize, fence: Fence, complete: bool) {
+        let latest = self.began.last().map(|&(_, fence, _)| fence);
+        if latest.is_some_and(|latest| latest >= fence) {
+            self.break_with(&format!("reign {fence} began after {latest:?}"));
+        }
+        self.tally.reigns += 1;
+        self.tally.successions += u64::from(fence.succession > 0);
+        self.began
+            .push((self.now, fence, self.processes[host].peer.clone()));
+        let values = &self.processes[host].member.as_ref().unwrap().state().0;
+        let held: BTreeSet<u64> = values.iter().copied().collect();
+        if complete {
+            let missing: Vec<u64> = self.committed.difference(&held).copied().collect();
+            if !missing.is_empty() {
+                self.break_with(&format!("reign {fence} lacks committed {missing:?}"));
+            }
+        } else {
+            self.tally.incomplete += u64::from(fence.epoch > 1);
+            self.committed.retain(|value| held.contains(value));
+            self.append(host);
+        }
+    }
+
+    fn append(&mut self, host: usize) {
+        self.serial += 1;
+        let value = self.serial;
+        let mut number = None;
+        self.act(host, |member, now, out| {
+            number = member.append(now, value, out);
+        });
+        if let Some(number) = number {
+            self.processes[host].waiting.insert(number, value);
+        }
+    }
+
+    fn send(&mut self, host: usize, to: &Peer, message: &Message<Values>) {
+        let Some(to) = self
+            .processes
+            .iter()
+            .position(|process| process.peer == *to)
+        else {
+            return;
+        };
+        let cut = self
+            .cuts
+            .get(&(host, to))
+            .is_some_and(|&until| until > self.now);
+        if cut || self.rng.chance(self.network.loss_percent) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.chance(self.network.duplicate_percent));
+        for _ in 0..copies {
+            let at = self.now + self.delay();
+            let from = self.processes[host].peer.clone();
+            self.schedule(
+                at,
+                Event::Deliver {
+                    to,
+                    from,
+                    message: message.clone(),
+                },
+            );
+        }
+    }
+
+    fn delay(&mut self) -> u64 {
+        if self.rng.chance(self.network.late_percent) {
+            return self.rng.range(MS..3_000 * MS);
+        }
+        self.rng.range(500..self.network.delay_max.max(1_000))
+    }
+
+    fn store_delay(&mut self) -> u64 {
+        if self.rng.chance(self.network.late_percent) {
+            return self.rng.range(MS..3_000 * MS);
+        }
+        self.rng.range(MS..6 * MS)
+    }
+
+    fn deliver(&mut self, to: usize, from: &Peer, message: Message<Values>) {
+        let process = &self.processes[to];
+        let known = process
+            .member
+            .as_ref()
+            .map_or(0, |member| member.fence().epoch);
+        if message.fence().epoch > known {
+            self.read(to);
+        }
+        self.act(to, |member, now, out| {
+            member.handle(now, from, message, out);
+        });
+    }
+
+    fn learn(&mut self, to: usize, record: &Record) {
+        let process = &mut self.processes[to];
+        if process.member.is_some() {
+            self.act(to, |member, now, out| {
+                member.adopt(now, record, out);
+            });
+            return;
+        }
+        let me = process.peer.clone();
+        let shard = shard::Id::new("balance".into(), 0);
+        let now = process.local(self.now);
+        process.member = Some(match self.flaw {
+            Some(flaw) => Member::flawed(me, shard, record, now, None, flaw),
+            None => Member::new(me, shard, record, now, None),
+        });
+        self.act(to, Member::tick);
+    }
+
+    fn read(&mut self, host: usize) {
+        if self.store_down_until > self.now || self.rng.chance(self.network.store_lost_percent) {
+            return;
+        }
+        let at = self.now + self.store_delay();
+        let record = self.record.clone();
+        self.schedule(at, Event::Learn { to: host, record });
+    }
+
+    fn store_write(&mut self, from: usize, write: Write) {
+        let down = self.store_down_until > self.now;
+        let refused = !down && write.attempt == 0 && self.rng.chance(self.network.loss_percent / 2);
+        if !down && !refused && self.record.epoch + 1 == write.epoch {
+            self.record.epoch = write.epoch;
+            self.record.trio = write.trio.clone();
+            self.record.token.clone_from(&write.token);
+        }
+        let lost = self.store_lose_next > 0 || self.rng.chance(self.network.store_lost_percent);
+        self.store_lose_next = self.store_lose_next.saturating_sub(1);
+        let silent = down || lost;
+        let record = (!silent).then(|| self.record.clone());
+        let delay = if silent { 300 * MS } else { self.store_delay() };
+        self.schedule(
+            self.now + delay,
+            Event::Written {
+                to: from,
+                write,
+                record,
+            },
+        );
+    }
+
+    /// Tells the writer the fate of its write; one that may still land is sent again.
+    fn written(&mut self, to: usize, mut write: Write, record: Option<Record>) {
+        if self.processes[to].write.as_ref() != Some(&write.token) {
+            return;
+        }
+        let definite = record
+            .as_ref()
+            .is_some_and(|record| write.attempt == 0 || record.epoch >= write.epoch);
+        if !definite {
+            self.act(to, |member, now, out| {
+                member.written(now, Fate::Unfinished, out);
+            });
+            write.attempt += 1;
+            let at = self.now + self.store_delay();
+            self.schedule(at, Event::StoreWrite { from: to, write });
+            return;
+        }
+        self.processes[to].write = None;
+        let record = record.unwrap();
+        self.act(to, |member, now, out| {
+            let won = record.token == write.token;
+            let fate = if won {
+                Fate::Won(&record)
+            } else {
+                Fate::Lost(&record)
+            };
+            member.written(now, fate, out);
+        });
+    }
+
+    /// Proposes a trio that keeps an answering standby and replaces the other at random.
+    fn propose(&mut self, host: usize) {
+        let process = &self.processes[host];
+        let Some(member) = &process.member else {
+            return;
+        };
+        let silent = member.silent(process.local(self.now));
+        let old = member.trio().clone();
+        let me = process.peer.clone();
+        let mut others: Vec<Peer> = self
+            .processes
+            .iter()
+            .filter(|other| other.peer != me && (other.alive || self.rng.next().is_multiple_of(4)))
+            .map(|other| other.peer.clone())
+            .collect();
+        if others.len() < 2 {
+            return;
+        }
+        let first = self.rng.index(others.len());
+        others.swap(0, first);
+        let kept = |peer: &Peer| old.contains(peer) && !silent.contains(peer);
+        if let Some(at) = others.iter().position(kept) {
+            others.swap(0, at);
+        }
+        let second = 1 + self.rng.index(others.len() - 1);
+        others.swap(1, second);
+        if self.rng.chance(50) {
+            others.swap(0, 1);
+        }
+        let trio = Trio {
+            leader: me,
+            first: others[0].clone(),
+            second: others[1].clone(),
+        };
+        self.act(host, |member, now, out| {
+            let _ = member.propose(now, trio, out);
+        });
+    }
+
+    fn inflict(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill(host) => self.processes[host].alive = false,
+            Fault::Restart(host) => self.restart(host),
+            Fault::DeclareLost(host) => {
+                let process = &self.processes[host];
+                if !process.alive {
+                    let peer = process.peer.clone();
+                    self.spread_gone(&peer);
+                }
+            }
+            Fault::Freeze { host, micros } => {
+                self.processes[host].frozen_until = self.now + micros;
+            }
+            Fault::Cut { from, to, micros } => {
+                self.cuts.insert((from, to), self.now + micros);
+            }
+            Fault::Isolate { host, micros } => {
+                for other in 0..self.processes.len() {
+                    self.cuts.insert((host, other), self.now + micros);
+                    self.cuts.insert((other, host), self.now + micros);
+                }
+            }
+            Fault::StoreDown { micros } => self.store_down_until = self.now + micros,
+            Fault::Shun { micros } => self.shun(micros),
+            Fault::KillActor => {
+                for host in self.actors() {
+                    self.processes[host].alive = false;
+                }
+            }
+            Fault::Resign => {
+                for host in self.unfrozen_actors() {
+                    self.act(host, Member::resign);
+                }
+            }
+            Fault::Propose => {
+                for host in self.unfrozen_actors() {
+                    self.propose(host);
+                }
+            }
+            Fault::Append => {
+                for host in self.unfrozen_actors() {
+                    self.append(host);
+                }
+            }
+        }
+    }
+
+    fn shun(&mut self, micros: u64) {
+        let until = self.now + micros;
+        for host in self.actors() {
+            let trio = self.processes[host].member.as_ref().unwrap().trio().clone();
+            for other in 0..self.processes.len() {
+                if other != host && trio.contains(&self.processes[other].peer) {
+                    self.cuts.insert((host, other), until);
+                    self.cuts.insert((other, host), until);
+                }
+            }
+        }
+    }
+
+    fn unfrozen_actors(&self) -> Vec<usize> {
+        let thawed = |&host: &usize| self.processes[host].frozen_until <= self.now;
+        self.actors().into_iter().filter(thawed).collect()
+    }
+
+    fn restart(&mut self, host: usize) {
+        let rate_ppm = self.rng.range(950_000..1_050_001);
+        let process = &mut self.processes[host];
+        let old = process.peer.clone();
+        process.peer = Peer::new(old.host.clone(), old.incarnation + 1);
+        process.alive = true;
+        process.frozen_until = 0;
+        process.rate_ppm = rate_ppm;
+        process.member = None;
+        process.waiting.clear();
+        process.write = None;
+        process.tick_at = u64::MAX;
+        self.schedule(self.now + MS, Event::StoreRead { from: host });
+        self.spread_gone(&old);
+    }
+
+    fn spread_gone(&mut self, peer: &Peer) {
+        for to in 0..self.processes.len() {
+            let at = self.now + self.delay();
+            self.schedule(
+                at,
+                Event::Gone {
+                    to,
+                    peer: peer.clone(),
+                },
+            );
+        }
+    }
+}
