--- a/crates/lab/src/fleet/layout.rs
+++ b/crates/lab/src/fleet/layout.rs
@@ -365,6 +365,7 @@
         slots: SLOTS,
         connections: service.connections,
         deadline_ms: service.deadline_ms,
+        orphan_ms: 60_000,
         classes: service.classes(),
     };
     Config {
