--- a/crates/node/src/engine/backends.rs
+++ b/crates/node/src/engine/backends.rs
@@ -13,7 +13,11 @@
 impl Engine {
     /// Takes in the backend servers that the configuration names.
     pub(super) fn adopt_backends(&mut self, now: Now, log: &mut Log<'_>) {
-        let wanted: Vec<_> = self.service.backends_of(self.shard.index).cloned().collect();
+        let wanted: Vec<_> = self
+            .service
+            .backends_of(self.shard.index)
+            .cloned()
+            .collect();
         for backend in &wanted {
             if !log.state().backends.contains(&backend.id) {
                 log.append(now.at, Entry::Backend(backend.id.clone()));
@@ -25,15 +29,16 @@
             if position >= self.health.len() {
                 let addr = declared.map_or(([0, 0, 0, 0], 0).into(), |backend| backend.addr);
                 let ended = self.earlier_work_ends();
-                self.health.push(Health::new(id.clone(), addr, now.at, ended));
+                self.health
+                    .push(Health::new(id.clone(), addr, now.at, ended));
                 self.standings.push(None);
             }
             let health = &mut self.health[position];
             if let Some(backend) = declared {
                 health.addr = backend.addr;
             }
-            health.leaving = declared.is_none_or(|backend| backend.draining);
-            health.declared_lost = declared.is_none_or(|backend| backend.lost);
+            health.wish.leaving = declared.is_none_or(|backend| backend.draining);
+            health.wish.declared_lost = declared.is_none_or(|backend| backend.lost);
         }
     }
 
@@ -53,7 +58,7 @@
         for position in 0..self.health.len() {
             let health = &mut self.health[position];
             health.tick(now.at);
-            if !health.declared_lost {
+            if !health.wish.declared_lost {
                 self.ask(now, position, out);
             }
             self.note_standing(now, position, out);
@@ -66,14 +71,24 @@
         let (backend, addr) = (health.id.clone(), health.addr);
         if health.wants_probe(now.at) {
             let shard = self.shard.clone();
-            out.push(Output::Probe { shard, backend: backend.clone(), addr });
+            out.push(Output::Probe {
+                shard,
+                backend: backend.clone(),
+                addr,
+            });
         }
         if !self.service.checks_fences {
             return;
         }
         if let Some(ticket) = health.wants_grant(now.at) {
             let (shard, fence) = (self.shard.clone(), self.fence);
-            out.push(Output::Grant { shard, backend, addr, fence, ticket });
+            out.push(Output::Grant {
+                shard,
+                backend,
+                addr,
+                fence,
+                ticket,
+            });
         }
     }
 
@@ -93,7 +108,9 @@
         };
         self.scheduler.set_backend(now.at, backend, state);
         self.next_plan = now.at;
-        let draft = self.event(kind).with(Name::Backend, &self.health[position].id);
+        let draft = self
+            .event(kind)
+            .with(Name::Backend, &self.health[position].id);
         out.push(Output::Event(draft));
         if standing == Standing::Lost {
             self.abort_all(backend, out);
@@ -113,7 +130,7 @@
             let health = &self.health[position];
             let backend = index(position);
             match health.standing() {
-                Standing::Lost if self.flaws.no_regrant_wait || health.declared_lost => {
+                Standing::Lost if self.flaws.no_regrant_wait || health.wish.declared_lost => {
                     self.occupancy.clear_orphans(backend);
                 }
                 Standing::Lost => {
@@ -123,7 +140,8 @@
                     }
                 }
                 Standing::Live | Standing::Leaving => {
-                    self.occupancy.clear_old_orphans(backend, now.at - self.orphan_wait);
+                    self.occupancy
+                        .clear_old_orphans(backend, now.at - self.orphan_wait);
                 }
             }
         }
--- a/crates/node/src/engine/crash.rs
+++ b/crates/node/src/engine/crash.rs
@@ -7,6 +7,7 @@
 use tarragon_model::time::Instant;
 use tarragon_timeline::event::{Kind, Name};
 
+use super::intake::suspect_stopped;
 use super::{Engine, Log};
 use crate::input::Now;
 use crate::output::Output;
@@ -73,17 +74,23 @@
             return;
         }
         self.order.push_back(fingerprint);
-        if self.order.len() > PROVEN {
-            if let Some(oldest) = self.order.pop_front() {
-                self.proven.remove(&oldest);
-            }
+        if self.order.len() > PROVEN
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.proven.remove(&oldest);
         }
     }
 }
 
 impl Engine {
     /// Holds a request whose connection broke until it is known whether the server crashed.
-    pub(super) fn put_on_trial(&mut self, now: Now, backend: u16, fingerprint: u64, id: Option<u64>) {
+    pub(super) fn put_on_trial(
+        &mut self,
+        now: Now,
+        backend: u16,
+        fingerprint: u64,
+        id: Option<u64>,
+    ) {
         let trial = self.trials.entry(backend).or_insert_with(|| Trial {
             since: now.at,
             fingerprints: SmallVec::new(),
@@ -99,7 +106,9 @@
 
     /// Tells whether a request is suspected of a crash that is not yet confirmed.
     pub(super) fn is_on_trial(&self, fingerprint: u64) -> bool {
-        self.trials.values().any(|trial| trial.fingerprints.contains(&fingerprint))
+        self.trials
+            .values()
+            .any(|trial| trial.fingerprints.contains(&fingerprint))
     }
 
     /// The backend server answered a question asked at `asked`, so it did not crash before that.
@@ -111,13 +120,16 @@
         out: &mut Vec<Output>,
         log: &mut Log<'_>,
     ) {
-        if self.trials.get(&backend).is_some_and(|trial| asked > trial.since) {
-            if let Some(trial) = self.trials.remove(&backend) {
-                for fingerprint in &trial.fingerprints {
-                    self.suspect_stopped(now, *fingerprint, log);
-                }
-                self.release_trial(now, &trial, out, log);
+        if self
+            .trials
+            .get(&backend)
+            .is_some_and(|trial| asked > trial.since)
+            && let Some(trial) = self.trials.remove(&backend)
+        {
+            for fingerprint in &trial.fingerprints {
+                suspect_stopped(now, *fingerprint, log);
             }
+            self.release_trial(now, &trial, out, log);
         }
     }
 
@@ -133,7 +145,10 @@
             return;
         };
         let in_flight = trial.fingerprints.to_vec();
-        let entry = quarantine::Entry::Crashed { in_flight, at: now.unix_ms };
+        let entry = quarantine::Entry::Crashed {
+            in_flight,
+            at: now.unix_ms,
+        };
         log.append(now.at, Entry::Quarantine(entry));
         let health = &self.health[usize::from(backend)];
         let draft = self
@@ -144,13 +159,7 @@
         self.release_trial(now, &trial, out, log);
     }
 
-    fn release_trial(
-        &mut self,
-        now: Now,
-        trial: &Trial,
-        out: &mut Vec<Output>,
-        log: &mut Log<'_>,
-    ) {
+    fn release_trial(&mut self, now: Now, trial: &Trial, out: &mut Vec<Output>, log: &mut Log<'_>) {
         for id in &trial.flights {
             self.again(now, *id, out, log);
         }
--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -22,11 +22,19 @@
 
 impl Refusal {
     fn not_run(reason: Reason) -> Self {
-        Self { outcome: Outcome::NotRun, reason, status: None }
+        Self {
+            outcome: Outcome::NotRun,
+            reason,
+            status: None,
+        }
     }
 
     fn unknown(reason: Reason) -> Self {
-        Self { outcome: Outcome::Unknown, reason, status: None }
+        Self {
+            outcome: Outcome::Unknown,
+            reason,
+            status: None,
+        }
     }
 }
 
@@ -41,8 +49,17 @@
     ) {
         let id = submission.id;
         if let Err(refusal) = self.admit(now, &submission, log) {
-            let Refusal { outcome, reason, status } = refusal;
-            out.push(Output::Refuse { id, outcome, reason, status });
+            let Refusal {
+                outcome,
+                reason,
+                status,
+            } = refusal;
+            out.push(Output::Refuse {
+                id,
+                outcome,
+                reason,
+                status,
+            });
             return;
         }
         if let Some(identifier) = submission.identifier {
@@ -83,7 +100,11 @@
         if self.identifiers.contains_key(&identifier) {
             return Err(Refusal::unknown(Reason::Running));
         }
-        match log.state().ledger.check(now.unix_ms, identifier, fingerprint) {
+        match log
+            .state()
+            .ledger
+            .check(now.unix_ms, identifier, fingerprint)
+        {
             Memory::Fresh => Ok(()),
             Memory::Running => Err(Refusal::unknown(Reason::Running)),
             Memory::Done { status } => Err(Refusal {
@@ -100,22 +121,19 @@
     }
 
     fn weight(&self, class: u8) -> u32 {
-        self.service.classes.get(usize::from(class)).map_or(1, |class| class.weight)
+        self.service
+            .classes
+            .get(usize::from(class))
+            .map_or(1, |class| class.weight)
     }
 
     /// Queues a request for its owner, or holds it until an owner may run it.
-    pub(super) fn route(
-        &mut self,
-        now: Now,
-        id: u64,
-        out: &mut Vec<Output>,
-        log: &Log<'_>,
-    ) {
+    pub(super) fn route(&mut self, now: Now, id: u64, out: &mut Vec<Output>, log: &Log<'_>) {
         let Some(flight) = self.flights.get(&id) else {
             return;
         };
         let submission = flight.submission.clone();
-        let retry = flight.retry;
+        let retry = flight.history.retry;
         let suspicion = log.state().quarantine.check(submission.fingerprint);
         if suspicion == Suspicion::Refused {
             self.refuse(id, Reason::Quarantined, out);
@@ -192,10 +210,9 @@
         }
         let owner = self.owner_of(submission.group, submission.key);
         match self.health.get(usize::from(owner)) {
-            None => Reason::NoBackend,
             Some(health) if health.standing() == Standing::Lost => Reason::OwnerLost,
             Some(_) if self.occupancy.is_elsewhere(submission.key, owner) => Reason::OwnerMoving,
-            Some(_) => Reason::NoBackend,
+            _ => Reason::NoBackend,
         }
     }
 
@@ -260,7 +277,11 @@
         }
         if let Some(identifier) = submission.identifier {
             let at = now.unix_ms;
-            let entry = ledger::Entry::Dispatched { id: identifier, fingerprint, at };
+            let entry = ledger::Entry::Dispatched {
+                id: identifier,
+                fingerprint,
+                at,
+            };
             index = Some(log.append(now.at, Entry::Ledger(entry)));
             if let Some(flight) = self.flights.get_mut(&id) {
                 flight.recorded = true;
@@ -303,7 +324,8 @@
             return;
         };
         if flight.cancelled || now.at >= flight.submission.deadline {
-            self.spread.leave(flight.submission.fingerprint, flight.backend);
+            self.spread
+                .leave(flight.submission.fingerprint, flight.backend);
             self.give_back(now, id, SlotEnding::Cancelled);
             self.not_run(now, id, log);
             self.refuse(id, Reason::Deadline, out);
@@ -327,7 +349,7 @@
             backend: health.id.clone(),
             addr: health.addr,
         };
-        if flight.retry {
+        if flight.history.retry {
             let draft = self.event(Kind::RequestRetried).with(Name::Request, id);
             out.push(Output::Event(draft.with(Name::Backend, &order.backend)));
         }
@@ -341,15 +363,10 @@
         };
         if let (true, Some(identifier)) = (flight.recorded, flight.submission.identifier) {
             flight.recorded = false;
-            log.append(now.at, Entry::Ledger(ledger::Entry::NotRun { id: identifier }));
-        }
-    }
-
-    /// Records that a suspect which ran alone ended without a crash and without success.
-    pub(super) fn suspect_stopped(&mut self, now: Now, fingerprint: u64, log: &mut Log<'_>) {
-        if log.state().quarantine.running() == Some(fingerprint) {
-            let entry = quarantine::Entry::Stopped { fingerprint };
-            log.append(now.at, Entry::Quarantine(entry));
+            log.append(
+                now.at,
+                Entry::Ledger(ledger::Entry::NotRun { id: identifier }),
+            );
         }
     }
 
@@ -364,3 +381,11 @@
         }
     }
 }
+
+/// Records that a suspect which ran alone ended without a crash and without success.
+pub(super) fn suspect_stopped(now: Now, fingerprint: u64, log: &mut Log<'_>) {
+    if log.state().quarantine.running() == Some(fingerprint) {
+        let entry = quarantine::Entry::Stopped { fingerprint };
+        log.append(now.at, Entry::Quarantine(entry));
+    }
+}
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -13,10 +13,10 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use tarragon_ledger::ledger::{self, Ledger};
-use tarragon_ledger::quarantine::{self, Quarantine};
 use tarragon_lease::member::Member;
 use tarragon_lease::output::Output as LeaseOutput;
+use tarragon_ledger::ledger::{self, Ledger};
+use tarragon_ledger::quarantine::{self, Quarantine};
 use tarragon_model::config::{Config, Preset, Service};
 use tarragon_model::fence::Fence;
 use tarragon_model::outcome::{Outcome, Reason};
@@ -71,7 +71,10 @@
     /// A group has this owner.
     Owner { position: u32, backend: u16 },
     /// A key has this owner.
-    Override { key: key::Hash, backend: Option<u16> },
+    Override {
+        key: key::Hash,
+        backend: Option<u16>,
+    },
     /// The request may be handed to its backend server.
     Dispatch(u64),
 }
@@ -263,7 +266,12 @@
         for id in waiting {
             if let Some(flight) = self.flights.remove(&id) {
                 let outcome = flight.outcome_now();
-                out.push(Output::Refuse { id, outcome, reason, status: None });
+                out.push(Output::Refuse {
+                    id,
+                    outcome,
+                    reason,
+                    status: None,
+                });
             }
         }
     }
@@ -277,30 +285,31 @@
         let before = Ledger::expiry(now.unix_ms);
         log.append(now.at, Entry::Ledger(ledger::Entry::Expire { before }));
         let before = Quarantine::expiry(now.unix_ms);
-        log.append(now.at, Entry::Quarantine(quarantine::Entry::Expire { before }));
+        log.append(
+            now.at,
+            Entry::Quarantine(quarantine::Entry::Expire { before }),
+        );
     }
 
     fn accept_config(&mut self, now: Now, log: &mut Log<'_>) {
-        self.scheduler.configure(now.at, &settings(&self.service, &self.preset));
+        self.scheduler
+            .configure(now.at, &settings(&self.service, &self.preset));
         self.budget.configure(self.preset.retry_percent);
         let index = log.append(now.at, Entry::Config(self.config_version));
-        self.effects.push_back((index, Effect::Config(self.config_version)));
+        self.effects
+            .push_back((index, Effect::Config(self.config_version)));
     }
 
-    fn take_effect(
-        &mut self,
-        now: Now,
-        effect: Effect,
-        out: &mut Vec<Output>,
-        log: &mut Log<'_>,
-    ) {
+    fn take_effect(&mut self, now: Now, effect: Effect, out: &mut Vec<Output>, log: &mut Log<'_>) {
         match effect {
             Effect::Config(version) => self.config_took_effect(version, out),
             Effect::Owners(owners) => {
                 self.owners = owners;
                 self.dirty = true;
             }
-            Effect::Owner { position, backend } => self.owner_took_effect(now, position, backend, out),
+            Effect::Owner { position, backend } => {
+                self.owner_took_effect(now, position, backend, out);
+            }
             Effect::Override { key, backend } => self.override_took_effect(now, key, backend, out),
             Effect::Dispatch(id) => self.dispatch_recorded(now, id, out, log),
         }
@@ -316,7 +325,9 @@
     }
 
     fn event(&self, kind: Kind) -> Draft {
-        Draft::new(kind).with(Name::Shard, &self.shard).with(Name::Fence, self.fence)
+        Draft::new(kind)
+            .with(Name::Shard, &self.shard)
+            .with(Name::Fence, self.fence)
     }
 
     /// Counts a broken invariant; experiments fail when any is counted.
@@ -328,7 +339,12 @@
     fn refuse(&mut self, id: u64, reason: Reason, out: &mut Vec<Output>) {
         if let Some(flight) = self.forget(id) {
             let outcome = flight.outcome_now();
-            out.push(Output::Refuse { id, outcome, reason, status: None });
+            out.push(Output::Refuse {
+                id,
+                outcome,
+                reason,
+                status: None,
+            });
         }
     }
 
@@ -354,7 +370,11 @@
     /// Returns what may be said of the request if it is given up now.
     fn outcome_now(&self) -> Outcome {
         let out = matches!(self.phase, Phase::Sent | Phase::Responded | Phase::Judging);
-        if out || self.maybe_run { Outcome::Unknown } else { Outcome::NotRun }
+        if out || self.history.maybe_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        }
     }
 }
 
--- a/crates/node/src/engine/moves.rs
+++ b/crates/node/src/engine/moves.rs
@@ -87,7 +87,10 @@
             Standing::Leaving => Slots::Leaving,
             Standing::Lost => Slots::Lost,
         };
-        Backend { speed: self.scheduler.speed(index(position)), state }
+        Backend {
+            speed: self.scheduler.speed(index(position)),
+            state,
+        }
     }
 
     fn may_move(&self, now: Now, one: &Move) -> bool {
@@ -95,7 +98,10 @@
             Subject::Group(group) => self.moving.contains(&group.0),
             Subject::Key(key) => self.moving_keys.contains(&key),
         };
-        let clear = self.health.get(usize::from(one.from)).is_none_or(|from| from.is_clear(now.at));
+        let clear = self
+            .health
+            .get(usize::from(one.from))
+            .is_none_or(|from| from.is_clear(now.at));
         !pending && clear && one.from != one.to
     }
 
@@ -106,14 +112,19 @@
             Subject::Key(key) => draft.with(Name::Key, key.0),
         };
         let name = |backend: u16| self.backend_name(backend);
-        let draft = draft.with(Name::From, name(one.from)).with(Name::To, name(one.to));
+        let draft = draft
+            .with(Name::From, name(one.from))
+            .with(Name::To, name(one.to));
         out.push(Output::Event(draft));
         let (entry, effect) = match one.what {
             Subject::Group(group) => {
                 self.moving.insert(group.0);
                 let position = group.0.wrapping_sub(self.first_group);
                 let backend = one.to;
-                (Entry::Owner { position, backend }, Effect::Owner { position, backend })
+                (
+                    Entry::Owner { position, backend },
+                    Effect::Owner { position, backend },
+                )
             }
             Subject::Key(key) => {
                 self.moving_keys.insert(key);
@@ -121,7 +132,10 @@
                 let position = group.0.wrapping_sub(self.first_group) as usize;
                 let follows = log.state().owners.get(position) == Some(&one.to);
                 let backend = (!follows).then_some(one.to);
-                (Entry::Override { key, backend }, Effect::Override { key, backend })
+                (
+                    Entry::Override { key, backend },
+                    Effect::Override { key, backend },
+                )
             }
         };
         let at = log.append(now.at, entry);
--- a/crates/node/src/engine/report.rs
+++ b/crates/node/src/engine/report.rs
@@ -37,7 +37,10 @@
     pub fn explain(&self, key: key::Hash) -> Value {
         let group = key.group(self.service.groups);
         let owner = self.owner_of(group, key);
-        let mut why = vec![format!("the key is in group {} of shard {}", group.0, self.shard)];
+        let mut why = vec![format!(
+            "the key is in group {} of shard {}",
+            group.0, self.shard
+        )];
         if !self.service.keyed {
             why.push("the service has no owners: any backend server may run the request".into());
         } else if self.overrides.contains_key(&key) {
@@ -46,7 +49,11 @@
             why.push("the key follows the owner of its group".into());
         }
         if let Some(health) = self.health.get(usize::from(owner)) {
-            why.push(format!("{} is {}", health.id, standing_name(health.standing())));
+            why.push(format!(
+                "{} is {}",
+                health.id,
+                standing_name(health.standing())
+            ));
         }
         if self.occupancy.is_elsewhere(key, owner) {
             why.push("requests wait: work of the key may still run on its former owner".into());
@@ -57,7 +64,10 @@
     /// Returns how often each invariant was found broken.
     pub fn broken_invariants(&self) -> impl Iterator<Item = (&'static str, u64)> {
         let slots = self.scheduler.violations().total();
-        let own = self.broken_invariants.iter().map(|(name, count)| (*name, *count));
+        let own = self
+            .broken_invariants
+            .iter()
+            .map(|(name, count)| (*name, *count));
         own.chain((slots > 0).then_some(("slots", slots)))
     }
 }
--- a/crates/node/src/engine/results.rs
+++ b/crates/node/src/engine/results.rs
@@ -6,6 +6,7 @@
 use tarragon_policy::scheduler::Ending as SlotEnding;
 use tarragon_timeline::event::{Kind, Name};
 
+use super::intake::suspect_stopped;
 use super::{Engine, Log};
 use crate::flight::{Flight, Phase};
 use crate::health::Change;
@@ -30,7 +31,10 @@
         flight.phase = Phase::Responded;
         let (backend, identifier) = (flight.backend, flight.submission.identifier);
         if let Some(identifier) = identifier {
-            let entry = ledger::Entry::Finished { id: identifier, status };
+            let entry = ledger::Entry::Finished {
+                id: identifier,
+                status,
+            };
             log.append(now.at, Entry::Ledger(entry));
         }
         let Some(health) = self.health.get_mut(usize::from(backend)) else {
@@ -54,10 +58,11 @@
         let Some(flight) = self.flights.get(&id).cloned() else {
             return;
         };
-        self.spread.leave(flight.submission.fingerprint, flight.backend);
+        self.spread
+            .leave(flight.submission.fingerprint, flight.backend);
         let crashed = matches!(ending, Ending::Cut | Ending::Broken | Ending::Served);
         if !crashed {
-            self.suspect_stopped(now, flight.submission.fingerprint, log);
+            suspect_stopped(now, flight.submission.fingerprint, log);
         }
         match ending {
             Ending::Served => self.served(now, id, &flight, log),
@@ -94,7 +99,13 @@
     fn served(&mut self, now: Now, id: u64, flight: &Flight, log: &mut Log<'_>) {
         let submission = &flight.submission;
         let work = now.at.since(flight.sent);
-        self.planner.record(now.at, submission.group, submission.key, work, flight.backend);
+        self.planner.record(
+            now.at,
+            submission.group,
+            submission.key,
+            work,
+            flight.backend,
+        );
         self.budget.success(now.at);
         self.spread.prove(submission.fingerprint);
         let fingerprint = submission.fingerprint;
@@ -115,12 +126,14 @@
         out: &mut Vec<Output>,
         log: &mut Log<'_>,
     ) {
-        if fenced {
-            if let Some(health) = self.health.get_mut(usize::from(flight.backend)) {
-                health.fenced(now.at);
-            }
+        if fenced && let Some(health) = self.health.get_mut(usize::from(flight.backend)) {
+            health.fenced(now.at);
         }
-        let ending = if fenced { SlotEnding::Cancelled } else { SlotEnding::Shed };
+        let ending = if fenced {
+            SlotEnding::Cancelled
+        } else {
+            SlotEnding::Shed
+        };
         self.give_back(now, id, ending);
         self.not_run(now, id, log);
         self.again(now, id, out, log);
@@ -159,13 +172,18 @@
     ) {
         let submission = &flight.submission;
         let failed = matches!(ending, Ending::Cut | Ending::Broken);
-        let slot = if failed { SlotEnding::Failed } else { SlotEnding::Cancelled };
+        let slot = if failed {
+            SlotEnding::Failed
+        } else {
+            SlotEnding::Cancelled
+        };
         self.scheduler.complete(now.at, id, slot);
         if self.service.keyed {
-            self.occupancy.orphan(submission.key, flight.backend, now.at);
+            self.occupancy
+                .orphan(submission.key, flight.backend, now.at);
         }
         if let Some(flight) = self.flights.get_mut(&id) {
-            flight.maybe_run = true;
+            flight.history.maybe_run = true;
         }
         let over = matches!(ending, Ending::Cut | Ending::Abandoned);
         let resend = submission.idempotent || self.flaws.resend_after_first_byte;
@@ -214,7 +232,7 @@
             return;
         };
         flight.phase = Phase::Held;
-        flight.retry = true;
+        flight.history.retry = true;
         if now.at >= flight.submission.deadline {
             self.refuse(id, Reason::Deadline, out);
         } else if self.budget.try_retry(now.at) {
--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -21,6 +21,15 @@
     Judging,
 }
 
+/// Earlier tries of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct History {
+    /// Whether there were any.
+    pub retry: bool,
+    /// Whether one of them may have run.
+    pub maybe_run: bool,
+}
+
 /// A request and its progress.
 #[derive(Clone, Debug)]
 pub struct Flight {
@@ -32,12 +41,10 @@
     pub backend: u16,
     /// When it was handed over.
     pub sent: Instant,
-    /// Whether it is tried again after a failure.
-    pub retry: bool,
     /// Whether its dispatch was recorded.
     pub recorded: bool,
-    /// Whether an earlier try may have run.
-    pub maybe_run: bool,
+    /// Earlier tries.
+    pub history: History,
     /// Whether its caller went away.
     pub cancelled: bool,
 }
@@ -51,9 +58,8 @@
             phase: Phase::Held,
             backend: crate::state::NOBODY,
             sent: Instant::ZERO,
-            retry: false,
             recorded: false,
-            maybe_run: false,
+            history: History::default(),
             cancelled: false,
         }
     }
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -53,6 +53,22 @@
     at: Instant,
 }
 
+/// What operators want of a backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wish {
+    /// It is to leave.
+    pub leaving: bool,
+    /// It was declared gone for good.
+    pub declared_lost: bool,
+}
+
+/// Questions that have not been answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pending {
+    probe: bool,
+    grant: bool,
+}
+
 /// Health of one backend server as its shard's leader sees it.
 #[derive(Debug)]
 pub struct Health {
@@ -60,19 +76,16 @@
     pub id: backend::Id,
     /// Address on which it takes work.
     pub addr: SocketAddr,
-    /// Whether operators, or the backend server itself, want it to leave.
-    pub leaving: bool,
-    /// Whether operators declared it gone for good.
-    pub declared_lost: bool,
+    /// What operators want of it.
+    pub wish: Wish,
     instance: Option<String>,
     last_ok: Instant,
     refused_since: Option<Instant>,
     silent: bool,
     next_probe: Instant,
     next_grant: Instant,
-    probing: bool,
+    pending: Pending,
     probe_sent: Instant,
-    granting: bool,
     ticket: Option<Ticket>,
     granted: bool,
     work_ended: Instant,
@@ -88,17 +101,15 @@
         Self {
             id,
             addr,
-            leaving: false,
-            declared_lost: false,
+            wish: Wish::default(),
             instance: None,
             last_ok: now,
             refused_since: None,
             silent: false,
             next_probe: now,
             next_grant: now,
-            probing: false,
+            pending: Pending::default(),
             probe_sent: Instant::ZERO,
-            granting: false,
             ticket: None,
             granted: false,
             work_ended,
@@ -109,9 +120,9 @@
     /// Returns whether the backend server can take work.
     #[must_use]
     pub fn standing(&self) -> Standing {
-        if self.silent || self.declared_lost {
+        if self.silent || self.wish.declared_lost {
             Standing::Lost
-        } else if self.leaving || self.drains {
+        } else if self.wish.leaving || self.drains {
             Standing::Leaving
         } else {
             Standing::Live
@@ -127,7 +138,7 @@
     /// Tells whether no work of an earlier leader can still run there.
     #[must_use]
     pub fn is_clear(&self, now: Instant) -> bool {
-        now >= self.work_ended || self.declared_lost
+        now >= self.work_ended || self.wish.declared_lost
     }
 
     /// Returns when every grant of this reign has run out, if no further one is taken.
@@ -139,10 +150,10 @@
 
     /// Tells whether a probe is due and notes that it is sent.
     pub fn wants_probe(&mut self, now: Instant) -> bool {
-        if self.probing || now < self.next_probe {
+        if self.pending.probe || now < self.next_probe {
             return false;
         }
-        self.probing = true;
+        self.pending.probe = true;
         self.probe_sent = now;
         self.next_probe = now + PROBE_EVERY;
         true
@@ -156,10 +167,10 @@
 
     /// Returns the ticket to offer a grant with when one is due, and notes that it is sent.
     pub fn wants_grant(&mut self, now: Instant) -> Option<Option<u64>> {
-        if self.granting || now < self.next_grant {
+        if self.pending.grant || now < self.next_grant {
             return None;
         }
-        self.granting = true;
+        self.pending.grant = true;
         self.next_grant = now + GRANT_EVERY;
         Some(self.ticket.map(|ticket| ticket.value))
     }
@@ -183,7 +194,7 @@
 
     /// Takes in the answer to a probe.
     pub fn probed(&mut self, now: Instant, result: &Probe) -> Option<Change> {
-        self.probing = false;
+        self.pending.probe = false;
         match result {
             Probe::Answered { instance, draining } => {
                 self.drains = *draining;
@@ -196,11 +207,18 @@
 
     /// Takes in the answer to an offered grant.
     pub fn offered(&mut self, now: Instant, result: &Grant) -> Option<Change> {
-        self.granting = false;
+        self.pending.grant = false;
         match result {
-            Grant::Answered { granted, ticket, instance } => {
+            Grant::Answered {
+                granted,
+                ticket,
+                instance,
+            } => {
                 let change = self.answered(now, Some(instance));
-                self.ticket = Some(Ticket { value: *ticket, at: now });
+                self.ticket = Some(Ticket {
+                    value: *ticket,
+                    at: now,
+                });
                 if !*granted {
                     self.next_grant = now;
                 }
@@ -239,7 +257,10 @@
         let Some(instance) = instance else {
             return Change::Alive;
         };
-        let restarted = self.instance.as_deref().is_some_and(|known| known != instance);
+        let restarted = self
+            .instance
+            .as_deref()
+            .is_some_and(|known| known != instance);
         if self.instance.as_deref() != Some(instance) {
             self.instance = Some(instance.to_owned());
             self.ticket = None;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -9,7 +9,7 @@
 use crate::message::Heartbeat;
 
 /// A process that was not heard for this long is not chosen for new duties.
-pub const SILENT_AFTER: Duration = Duration::from_millis(2_000);
+pub const SILENT_AFTER: Duration = Duration::from_secs(2);
 
 /// What is known of one host.
 #[derive(Clone, Debug)]
@@ -47,7 +47,10 @@
             self.known
                 .entry(entry.id.clone())
                 .and_modify(|known| known.entry.state = entry.state)
-                .or_insert_with(|| Known { entry: entry.clone(), heard: None });
+                .or_insert_with(|| Known {
+                    entry: entry.clone(),
+                    heard: None,
+                });
         }
         self.known.retain(|id, known| {
             let listed = entries.iter().any(|entry| entry.id == *id);
@@ -66,13 +69,25 @@
         let known = self
             .known
             .entry(from.host.clone())
-            .or_insert_with(|| Known { entry: heartbeat.entry.clone(), heard: None });
-        if known.heard.as_ref().is_some_and(|last| from.is_ended_by(&last.peer)) {
+            .or_insert_with(|| Known {
+                entry: heartbeat.entry.clone(),
+                heard: None,
+            });
+        if known
+            .heard
+            .as_ref()
+            .is_some_and(|last| from.is_ended_by(&last.peer))
+        {
             return None;
         }
-        known.entry = host::Entry { state: known.entry.state, ..heartbeat.entry.clone() };
+        known.entry = host::Entry {
+            state: known.entry.state,
+            ..heartbeat.entry.clone()
+        };
         let before = known.heard.replace(heard);
-        before.map(|last| last.peer).filter(|last| last.is_ended_by(from))
+        before
+            .map(|last| last.peer)
+            .filter(|last| last.is_ended_by(from))
     }
 
     /// Records that this incarnation of a host, and every earlier one, is gone.
@@ -84,8 +99,14 @@
     /// Tells whether a process is proven gone: a later run of its host spoke, or operators said so.
     #[must_use]
     pub fn is_gone(&self, peer: &Peer) -> bool {
-        let declared = self.ended.get(&peer.host).is_some_and(|last| peer.incarnation <= *last);
-        declared || self.peer(&peer.host).is_some_and(|latest| peer.is_ended_by(latest))
+        let declared = self
+            .ended
+            .get(&peer.host)
+            .is_some_and(|last| peer.incarnation <= *last);
+        declared
+            || self
+                .peer(&peer.host)
+                .is_some_and(|latest| peer.is_ended_by(latest))
     }
 
     /// Returns the latest known run of the router on a host.
@@ -109,14 +130,20 @@
     pub fn is_fit(&self, now: Instant, peer: &Peer) -> bool {
         let known = self.known.get(&peer.host);
         known.is_some_and(|known| {
-            known.is_fit(now) && known.heard.as_ref().is_some_and(|heard| heard.peer == *peer)
+            known.is_fit(now)
+                && known
+                    .heard
+                    .as_ref()
+                    .is_some_and(|heard| heard.peer == *peer)
         })
     }
 }
 
 impl Known {
     fn is_live(&self, now: Instant) -> bool {
-        self.heard.as_ref().is_some_and(|heard| now.since(heard.at) < SILENT_AFTER)
+        self.heard
+            .as_ref()
+            .is_some_and(|heard| now.since(heard.at) < SILENT_AFTER)
     }
 
     fn is_fit(&self, now: Instant) -> bool {
--- a/crates/node/src/node/answer.rs
+++ b/crates/node/src/node/answer.rs
@@ -62,7 +62,10 @@
         let hash = key::Hash::of(key);
         let group = hash.group(found.groups);
         let shard = found.shard_of(group);
-        let leader = self.directory.lead(&shard).map(|lead| lead.leader.host.clone());
+        let leader = self
+            .directory
+            .lead(&shard)
+            .map(|lead| lead.leader.host.clone());
         let slot = self.slots.get(&shard).filter(|slot| slot.is_acting(now.at));
         let mut answer = json!({
             "service": service,
--- a/crates/node/src/node/authority.rs
+++ b/crates/node/src/node/authority.rs
@@ -28,7 +28,10 @@
         for ask in asks {
             match ask {
                 LeaseOutput::Send { to, message } => {
-                    let lease = Lease { shard: id.clone(), message };
+                    let lease = Lease {
+                        shard: id.clone(),
+                        message,
+                    };
                     self.send(&to, Message::Lease(lease), out);
                 }
                 LeaseOutput::Write { epoch, trio } => self.write_trio(now, id, epoch, trio, out),
@@ -71,7 +74,10 @@
         let draft = Draft::new(Kind::ReignBegan)
             .with(Name::Shard, id)
             .with(Name::Fence, fence)
-            .with(Name::Detail, if complete { "complete" } else { "memory-lost" });
+            .with(
+                Name::Detail,
+                if complete { "complete" } else { "memory-lost" },
+            );
         out.push(Output::Event(draft));
         let mut asks = Asks::new();
         if let Some(slot) = self.slots.get_mut(id) {
@@ -86,7 +92,11 @@
         self.carry_out(now, id, asks, out);
         self.start_engine(now, id, out);
         let leader = self.settings.me.clone();
-        self.directory.learn(&Lead { shard: id.clone(), fence, leader });
+        self.directory.learn(&Lead {
+            shard: id.clone(),
+            fence,
+            leader,
+        });
         self.view_changed();
         self.heartbeat(now, out);
     }
@@ -114,7 +124,10 @@
             resend_after_first_byte: self.settings.resend_after_first_byte,
         };
         let mut asks = Asks::new();
-        let mut log = Log { member, out: &mut asks };
+        let mut log = Log {
+            member,
+            out: &mut asks,
+        };
         slot.engine = Engine::new(now, setup, &mut log);
         self.carry_out(now, id, asks, out);
     }
--- a/crates/node/src/node/gossip.rs
+++ b/crates/node/src/node/gossip.rs
@@ -27,7 +27,10 @@
             draining: self.draining.is_some(),
         });
         let receivers = self.members.all().map(|known| known.entry.peer_addr);
-        out.extend(receivers.map(|to| Output::Send { to, message: message.clone() }));
+        out.extend(receivers.map(|to| Output::Send {
+            to,
+            message: message.clone(),
+        }));
     }
 
     fn leads(&self, now: Now) -> Vec<Lead> {
@@ -36,7 +39,11 @@
             .filter_map(|slot| {
                 let fence = slot.member.as_ref()?.fence();
                 let leader = self.settings.me.clone();
-                Some(Lead { shard: slot.id.clone(), fence, leader })
+                Some(Lead {
+                    shard: slot.id.clone(),
+                    fence,
+                    leader,
+                })
             })
             .collect()
     }
@@ -64,7 +71,9 @@
     fn heard(&mut self, now: Now, from: &Peer, heartbeat: &Heartbeat, out: &mut Vec<Output>) {
         if let Some(ended) = self.members.heard(now.at, from, heartbeat) {
             let draft = Draft::new(Kind::HostGone).with(Name::Peer, &ended);
-            out.push(Output::Event(draft.with(Name::Reason, "a later run of the host spoke")));
+            out.push(Output::Event(
+                draft.with(Name::Reason, "a later run of the host spoke"),
+            ));
             self.peer_gone(now, &ended, out);
             self.view_changed();
         }
@@ -75,7 +84,10 @@
         }
         if heartbeat.config_version > self.config_version {
             let to = heartbeat.entry.peer_addr;
-            out.push(Output::Send { to, message: Message::ConfigWanted });
+            out.push(Output::Send {
+                to,
+                message: Message::ConfigWanted,
+            });
         }
     }
 
@@ -83,8 +95,10 @@
         if self.config_version == 0 {
             return;
         }
-        let versioned =
-            Versioned { version: self.config_version, config: self.config.as_ref().clone() };
+        let versioned = Versioned {
+            version: self.config_version,
+            config: self.config.as_ref().clone(),
+        };
         self.send(to, Message::Config(versioned), out);
     }
 
@@ -92,7 +106,10 @@
     pub(super) fn send(&self, to: &Peer, message: Message, out: &mut Vec<Output>) {
         let known = self.members.all().find(|known| known.entry.id == to.host);
         if let Some(known) = known {
-            out.push(Output::Send { to: known.entry.peer_addr, message });
+            out.push(Output::Send {
+                to: known.entry.peer_addr,
+                message,
+            });
         }
     }
 
@@ -104,7 +121,11 @@
         if epoch < slot.epoch() {
             if let Some(record) = &slot.record {
                 let (shard, version) = (slot.id.clone(), slot.version);
-                let stored = Stored { shard, version, record: record.clone() };
+                let stored = Stored {
+                    shard,
+                    version,
+                    record: record.clone(),
+                };
                 self.send(from, Message::Record(stored), out);
             }
             return;
@@ -130,14 +151,20 @@
         self.config = Arc::new(config);
         self.config_version = version;
         self.view_changed();
-        out.push(Output::Event(Draft::new(Kind::ConfigSeen).with(Name::Version, version)));
+        out.push(Output::Event(
+            Draft::new(Kind::ConfigSeen).with(Name::Version, version),
+        ));
         let config = self.config.clone();
-        let shards = config.services.iter().flat_map(|service| {
-            service.shard_ids().map(move |id| (id, service))
-        });
+        let shards = config
+            .services
+            .iter()
+            .flat_map(|service| service.shard_ids().map(move |id| (id, service)));
         for (id, service) in shards {
             let index = id.index;
-            let slot = self.slots.entry(id.clone()).or_insert_with(|| Slot::new(id));
+            let slot = self
+                .slots
+                .entry(id.clone())
+                .or_insert_with(|| Slot::new(id));
             let first = service.groups_of(index).next().map_or(0, |group| group.0);
             let count = u32::try_from(service.groups_of(index).count()).unwrap_or(u32::MAX);
             slot.groups = (first, count);
@@ -169,7 +196,10 @@
         out: &mut Vec<Output>,
     ) {
         let me = self.settings.me.clone();
-        let slot = self.slots.entry(shard.clone()).or_insert_with(|| Slot::new(shard.clone()));
+        let slot = self
+            .slots
+            .entry(shard.clone())
+            .or_insert_with(|| Slot::new(shard.clone()));
         let mut asks = Asks::new();
         let entered = slot.learn(now, &me, version, record, &mut asks);
         self.carry_out(now, shard, asks, out);
@@ -189,8 +219,11 @@
             Some(record) => [&record.trio.leader, &record.trio.first, &record.trio.second],
             None => return,
         };
-        let gone: Vec<Peer> =
-            peers.into_iter().filter(|peer| self.members.is_gone(peer)).cloned().collect();
+        let gone: Vec<Peer> = peers
+            .into_iter()
+            .filter(|peer| self.members.is_gone(peer))
+            .cloned()
+            .collect();
         for peer in gone {
             self.peer_gone_from(now, shard, &peer, out);
         }
--- a/crates/node/src/node/leave.rs
+++ b/crates/node/src/node/leave.rs
@@ -42,7 +42,10 @@
             .map(|slot| slot.id.clone())
             .collect();
         for id in &acting {
-            let ready = self.slots.get(id).is_some_and(|slot| self.may_resign(now, slot));
+            let ready = self
+                .slots
+                .get(id)
+                .is_some_and(|slot| self.may_resign(now, slot));
             if ready || waited >= PATIENCE {
                 self.resign(now, id, out);
             }
@@ -55,7 +58,9 @@
         let handed = acting.is_empty() || waited >= PATIENCE;
         if handed && released {
             self.drained = true;
-            out.push(Output::Event(Draft::new(Kind::HostStopped).with(Name::Step, "handed-over")));
+            out.push(Output::Event(
+                Draft::new(Kind::HostStopped).with(Name::Step, "handed-over"),
+            ));
             out.push(Output::Drained);
         }
     }
@@ -66,7 +71,11 @@
             return;
         }
         self.store_away = away;
-        let kind = if away { Kind::StoreAway } else { Kind::StoreBack };
+        let kind = if away {
+            Kind::StoreAway
+        } else {
+            Kind::StoreBack
+        };
         out.push(Output::Event(Draft::new(kind)));
     }
 }
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -151,17 +151,29 @@
             Input::Written { shard, result } => self.written(now, &shard, result, out),
             Input::StoreAway(away) => self.note_store(away, out),
             Input::Submit(submission) => self.submit(now, submission, out),
-            Input::Responded { id, status, instance } => {
+            Input::Responded {
+                id,
+                status,
+                instance,
+            } => {
                 self.responded(now, id, status, instance.as_deref(), out);
             }
             Input::Ended { id, ending } => self.ended(now, id, &ending, out),
             Input::Cancelled { id } => self.cancelled(now, id),
-            Input::Probed { shard, backend, result } => {
+            Input::Probed {
+                shard,
+                backend,
+                result,
+            } => {
                 self.with_engine(now, &shard, out, |engine, out, log| {
                     engine.probed(now, &backend, &result, out, log);
                 });
             }
-            Input::Granted { shard, backend, result } => {
+            Input::Granted {
+                shard,
+                backend,
+                result,
+            } => {
                 self.with_engine(now, &shard, out, |engine, out, log| {
                     engine.granted(now, &backend, &result, out, log);
                 });
@@ -174,7 +186,10 @@
     /// Returns the end of the lease of every shard that this process has a part in.
     pub fn leases(&self) -> impl Iterator<Item = (&shard::Id, Instant)> {
         self.slots.iter().map(|(id, slot)| {
-            let until = slot.member.as_ref().map_or(Instant::ZERO, |member| member.lease_until());
+            let until = slot
+                .member
+                .as_ref()
+                .map_or(Instant::ZERO, tarragon_lease::Member::lease_until);
             (id, until)
         })
     }
@@ -191,7 +206,10 @@
             if lead.leader == self.settings.me {
                 return Some((&lead.shard, Route::Here));
             }
-            let known = self.members.all().find(|known| known.entry.id == lead.leader.host)?;
+            let known = self
+                .members
+                .all()
+                .find(|known| known.entry.id == lead.leader.host)?;
             Some((&lead.shard, Route::There(known.entry.forward_addr)))
         })
     }
@@ -231,10 +249,13 @@
         let ids: Vec<shard::Id> = self.slots.keys().cloned().collect();
         for id in ids {
             let mut asks = Asks::new();
-            if let Some(member) = self.slots.get_mut(&id).and_then(|slot| slot.member.as_mut()) {
-                if now.at >= member.next_tick(now.at) {
-                    member.tick(now.at, &mut asks);
-                }
+            if let Some(member) = self
+                .slots
+                .get_mut(&id)
+                .and_then(|slot| slot.member.as_mut())
+                && now.at >= member.next_tick(now.at)
+            {
+                member.tick(now.at, &mut asks);
             }
             self.carry_out(now, &id, asks, out);
             self.with_engine(now, &id, out, |engine, out, log| engine.tick(now, out, log));
@@ -251,7 +272,10 @@
         };
         let mut asks: Vec<LeaseOutput<_>> = Asks::new();
         if let (Some(engine), Some(member)) = (&mut slot.engine, &mut slot.member) {
-            let mut log = Log { member, out: &mut asks };
+            let mut log = Log {
+                member,
+                out: &mut asks,
+            };
             run(engine, out, &mut log);
         }
         self.carry_out(now, id, asks, out);
--- a/crates/node/src/node/repair.rs
+++ b/crates/node/src/node/repair.rs
@@ -18,7 +18,7 @@
 /// Time between two looks at every shard.
 pub(super) const CHECK_EVERY: Duration = Duration::from_millis(100);
 /// Pause before a trio is changed again.
-const REPAIR_EVERY: Duration = Duration::from_millis(1_000);
+const REPAIR_EVERY: Duration = Duration::from_secs(1);
 /// Time after its start in which a process hears of the others before it creates records.
 const SETTLE: Duration = Duration::from_millis(1_500);
 /// Time between two looks for a better spread of leaders.
@@ -79,10 +79,15 @@
     /// Deals the shards of a region to its hosts in turn.
     fn founding_leader(&self, id: &shard::Id, candidates: &[Candidate]) -> Option<Peer> {
         let region = self.region_of(id);
-        let position = self.slots.keys().filter(|other| self.region_of(other) == region);
+        let position = self
+            .slots
+            .keys()
+            .filter(|other| self.region_of(other) == region);
         let position = position.take_while(|other| *other != id).count();
-        let mut local: Vec<&Candidate> =
-            candidates.iter().filter(|one| one.region == region).collect();
+        let mut local: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|one| one.region == region)
+            .collect();
         local.sort_by(|a, b| a.peer.cmp(&b.peer));
         let chosen = local.get(position % local.len().max(1))?;
         Some(chosen.peer.clone())
@@ -112,7 +117,11 @@
         }
         let handover = slot.handover.clone().filter(fit);
         let keep: SmallVec<[Peer; 3]> = standbys.iter().filter(|peer| fit(peer)).cloned().collect();
-        if whole && handover.as_ref().is_none_or(|heir| *heir == record.trio.first) {
+        if whole
+            && handover
+                .as_ref()
+                .is_none_or(|heir| *heir == record.trio.first)
+        {
             return;
         }
         let candidates = self.candidates(now, &silent);
@@ -194,8 +203,11 @@
         if self.store_away || self.draining.is_some() {
             return;
         }
-        let acting: Vec<&Slot> =
-            self.slots.values().filter(|slot| slot.is_acting(now.at)).collect();
+        let acting: Vec<&Slot> = self
+            .slots
+            .values()
+            .filter(|slot| slot.is_acting(now.at))
+            .collect();
         if acting.iter().any(|slot| slot.handover.is_some()) {
             return;
         }
@@ -211,10 +223,10 @@
             let better = heir.leads + 2 <= mine || away;
             better.then(|| (slot.id.clone(), heir.peer.clone()))
         });
-        if let Some((id, heir)) = pick {
-            if let Some(slot) = self.slots.get_mut(&id) {
-                slot.handover = Some(heir);
-            }
+        if let Some((id, heir)) = pick
+            && let Some(slot) = self.slots.get_mut(&id)
+        {
+            slot.handover = Some(heir);
         }
     }
 
@@ -245,7 +257,9 @@
             && member.fence().succession == 0
             && !member.is_proposing()
             && member.silent(now.at).is_empty()
-            && standbys.into_iter().all(|peer| self.members.is_fit(now.at, peer))
+            && standbys
+                .into_iter()
+                .all(|peer| self.members.is_fit(now.at, peer))
     }
 
     pub(super) fn resign(&mut self, now: Now, id: &shard::Id, out: &mut Vec<Output>) {
@@ -280,7 +294,10 @@
                 leads: heard.leads,
             })
         });
-        own.into_iter().chain(others).filter(|one| !without.contains(&one.peer)).collect()
+        own.into_iter()
+            .chain(others)
+            .filter(|one| !without.contains(&one.peer))
+            .collect()
     }
 
     fn choose(
@@ -292,12 +309,23 @@
         candidates: &[Candidate],
     ) -> Option<Trio> {
         let region = self.region_of(id);
-        trio::choose(Wish { shard: id, region: &region, leader, first, keep }, candidates)
+        trio::choose(
+            Wish {
+                shard: id,
+                region: &region,
+                leader,
+                first,
+                keep,
+            },
+            candidates,
+        )
     }
 
     /// Tells whether this process comes first among those that could do a shard's common tasks.
     fn is_coordinator(&self, id: &shard::Id, candidates: &[Candidate]) -> bool {
-        let first = candidates.iter().min_by_key(|one| trio::rank(id, &one.peer));
+        let first = candidates
+            .iter()
+            .min_by_key(|one| trio::rank(id, &one.peer));
         first.is_some_and(|one| one.peer == self.settings.me)
     }
 
@@ -306,7 +334,10 @@
         let service = self.config.service(id.service.as_str());
         let backend = service.and_then(|service| service.backends_of(id.index).next());
         let place = backend.and_then(|backend| {
-            self.config.places.iter().find(|place| place.name == backend.place)
+            self.config
+                .places
+                .iter()
+                .find(|place| place.name == backend.place)
         });
         place.map(|place| place.region.clone()).unwrap_or_default()
     }
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -14,8 +14,17 @@
         let leads = slot.is_some_and(|slot| slot.engine.is_some());
         let acts = slot.is_some_and(|slot| slot.is_acting(now.at));
         if !leads || !acts {
-            let reason = if leads { Reason::LeaseLapsed } else { Reason::NoLeader };
-            out.push(Output::Refuse { id, outcome: Outcome::NotRun, reason, status: None });
+            let reason = if leads {
+                Reason::LeaseLapsed
+            } else {
+                Reason::NoLeader
+            };
+            out.push(Output::Refuse {
+                id,
+                outcome: Outcome::NotRun,
+                reason,
+                status: None,
+            });
             return;
         }
         self.requests.insert(id, shard.clone());
@@ -43,7 +52,9 @@
         let shard = self.requests.get(&id).cloned();
         let known = shard.as_ref().is_some_and(|shard| {
             self.slots.get(shard).is_some_and(|slot| {
-                slot.engine.as_ref().is_some_and(|engine| engine.answers_for(id))
+                slot.engine
+                    .as_ref()
+                    .is_some_and(|engine| engine.answers_for(id))
             })
         });
         match shard {
@@ -63,7 +74,11 @@
         let Some(shard) = self.requests.remove(&id) else {
             return;
         };
-        if let Some(engine) = self.slots.get_mut(&shard).and_then(|slot| slot.engine.as_mut()) {
+        if let Some(engine) = self
+            .slots
+            .get_mut(&shard)
+            .and_then(|slot| slot.engine.as_mut())
+        {
             engine.cancelled(now, id);
         }
     }
@@ -84,7 +99,20 @@
         ending,
         Ending::Refused { .. } | Ending::NotConnected { .. } | Ending::NotSent
     );
-    let outcome = if not_run { Outcome::NotRun } else { Outcome::Unknown };
-    let reason = if not_run { Reason::LeaseLapsed } else { Reason::BackendFailed };
-    Output::Refuse { id, outcome, reason, status: None }
+    let outcome = if not_run {
+        Outcome::NotRun
+    } else {
+        Outcome::Unknown
+    };
+    let reason = if not_run {
+        Reason::LeaseLapsed
+    } else {
+        Reason::BackendFailed
+    };
+    Output::Refuse {
+        id,
+        outcome,
+        reason,
+        status: None,
+    }
 }
--- a/crates/node/src/node/writes.rs
+++ b/crates/node/src/node/writes.rs
@@ -40,7 +40,13 @@
         }
         let fence = Fence::new(epoch, 0);
         let state = self.state_of(id).cloned().unwrap_or_default();
-        self.start_update(now, id, Purpose::Trio(trio.clone()), (fence, &trio, &state), out);
+        self.start_update(
+            now,
+            id,
+            Purpose::Trio(trio.clone()),
+            (fence, &trio, &state),
+            out,
+        );
     }
 
     /// Writes the record of a shard that has none, or whose trio is all gone.
@@ -97,11 +103,22 @@
             return;
         };
         let writer = &self.settings.me;
-        let draft = Draft { writer, number: self.updates, first_group: slot.groups.0 };
+        let draft = Draft {
+            writer,
+            number: self.updates,
+            first_group: slot.groups.0,
+        };
         let record = draft.record(fence.epoch, fence, trio, state);
-        slot.update = Some(Update { purpose, record: record.clone() });
+        slot.update = Some(Update {
+            purpose,
+            record: record.clone(),
+        });
         let (shard, if_version) = (id.clone(), slot.version);
-        out.push(Output::Write { shard, if_version, record: Box::new(record) });
+        out.push(Output::Write {
+            shard,
+            if_version,
+            record: Box::new(record),
+        });
     }
 
     /// Takes in how an update ended.
@@ -150,10 +167,17 @@
             .with(Name::Fence, record.fence)
             .with(Name::Detail, trio_text(&record.trio));
         out.push(Output::Event(event));
-        let stored = Stored { shard: id.clone(), version, record: record.clone() };
+        let stored = Stored {
+            shard: id.clone(),
+            version,
+            record: record.clone(),
+        };
         for known in self.members.all() {
             let to = known.entry.peer_addr;
-            out.push(Output::Send { to, message: Message::Record(stored.clone()) });
+            out.push(Output::Send {
+                to,
+                message: Message::Record(stored.clone()),
+            });
         }
     }
 
@@ -171,10 +195,10 @@
         let Some(update) = slot.update.take() else {
             return;
         };
-        if update.purpose == Purpose::Owners {
-            if let Some(engine) = &mut slot.engine {
-                engine.mark_dirty();
-            }
+        if update.purpose == Purpose::Owners
+            && let Some(engine) = &mut slot.engine
+        {
+            engine.mark_dirty();
         }
         let Some(record) = record else {
             slot.next_write = now.at + RETRY_AFTER;
@@ -225,7 +249,11 @@
         let Some(trio) = slot.waiting.take() else {
             return;
         };
-        if slot.member.as_ref().is_some_and(tarragon_lease::Member::is_proposing) {
+        if slot
+            .member
+            .as_ref()
+            .is_some_and(tarragon_lease::Member::is_proposing)
+        {
             let epoch = slot.epoch() + 1;
             self.write_trio(now, id, epoch, trio, out);
         }
--- a/crates/node/src/occupancy.rs
+++ b/crates/node/src/occupancy.rs
@@ -67,14 +67,22 @@
     #[must_use]
     pub fn orphaned_keys(&self, backend: u16) -> usize {
         let has = |one: &Occupant| one.backend == backend && one.orphans > 0;
-        self.keys.values().filter(|list| list.iter().any(has)).count()
+        self.keys
+            .values()
+            .filter(|list| list.iter().any(has))
+            .count()
     }
 
     fn occupant(&mut self, key: key::Hash, backend: u16) -> &mut Occupant {
         let list = self.keys.entry(key).or_default();
         let position = list.iter().position(|one| one.backend == backend);
         let position = position.unwrap_or_else(|| {
-            list.push(Occupant { backend, running: 0, orphans: 0, orphaned_at: Instant::ZERO });
+            list.push(Occupant {
+                backend,
+                running: 0,
+                orphans: 0,
+                orphaned_at: Instant::ZERO,
+            });
             list.len() - 1
         });
         &mut list[position]
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -68,13 +68,17 @@
     /// Tells whether this process may act for the shard now.
     #[must_use]
     pub fn is_acting(&self, now: Instant) -> bool {
-        self.member.as_ref().is_some_and(|member| member.may_act(now))
+        self.member
+            .as_ref()
+            .is_some_and(|member| member.may_act(now))
     }
 
     /// Tells whether this process leads a reign over the shard, with or without a lease.
     #[must_use]
     pub fn is_leader(&self) -> bool {
-        self.member.as_ref().is_some_and(|member| member.role() == Role::Leader)
+        self.member
+            .as_ref()
+            .is_some_and(|member| member.role() == Role::Leader)
     }
 
     /// Returns the latest known epoch; zero for none.
@@ -128,12 +132,20 @@
     fn rebuild(&self, now: Now, record: &Record) -> Held<State> {
         let (first, count) = self.groups;
         let state = State::from_record(record, first, count, now.unix_ms);
-        Held { reign: record.fence, index: record.index, complete: false, state }
+        Held {
+            reign: record.fence,
+            index: record.index,
+            complete: false,
+            state,
+        }
     }
 
     /// Drops the part in the lease protocol when the trio names this process no more.
     pub fn leave_if_outside(&mut self, me: &Peer) {
-        let inside = self.record.as_ref().is_none_or(|record| record.trio.contains(me));
+        let inside = self
+            .record
+            .as_ref()
+            .is_none_or(|record| record.trio.contains(me));
         if !inside {
             self.member = None;
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use tarragon_lease::state::State as Replicated;
 use tarragon_ledger::ledger::{self, Ledger};
 use tarragon_ledger::quarantine::{self, Quarantine};
-use tarragon_lease::state::State as Replicated;
 use tarragon_model::record::{Override, Owner, Record};
 use tarragon_model::{backend, key};
 
@@ -87,7 +87,9 @@
     #[must_use]
     pub fn from_record(record: &Record, first_group: u32, groups: u32, horizon_ms: u64) -> Self {
         let mut state = Self::default();
-        state.ledger.apply(&ledger::Entry::Horizon { at: horizon_ms });
+        state
+            .ledger
+            .apply(&ledger::Entry::Horizon { at: horizon_ms });
         state.owners = vec![NOBODY; groups as usize];
         for run in &record.owners {
             let backend = state.position_of(&run.backend);
--- a/crates/node/src/trio.rs
+++ b/crates/node/src/trio.rs
@@ -61,7 +61,9 @@
         .or_else(|| best(candidates, &[], |one| leader_rank(wish, one)))?;
     let first = fixed(candidates, wish.first)
         .or_else(|| best(candidates, &[leader], |one| first_rank(wish, leader, one)))?;
-    let second = best(candidates, &[leader, first], |one| second_rank(wish, leader, first, one))?;
+    let second = best(candidates, &[leader, first], |one| {
+        second_rank(wish, leader, first, one)
+    })?;
     Some(Trio {
         leader: leader.peer.clone(),
         first: first.peer.clone(),
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -26,13 +26,26 @@
 /// Pause between two looks for new events.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
-inventory::submit!(Duty { name: "operators", threads: 1, start });
+inventory::submit!(Duty {
+    name: "operators",
+    threads: 1,
+    start
+});
 
 fn start(shared: Shared) -> Work {
     Box::pin(async move {
         let addr = shared.settings.admin_addr;
         let (close, stop) = (shared.close.clone(), shared.stop.clone());
-        server::serve(addr, Limits { headers: MAX_HEADERS }, Admin { shared }, close, stop).await
+        server::serve(
+            addr,
+            Limits {
+                headers: MAX_HEADERS,
+            },
+            Admin { shared },
+            close,
+            stop,
+        )
+        .await
     })
 }
 
@@ -52,7 +65,7 @@
             (&Method::GET, "/shards") => self.ask(Question::Shards).await,
             (&Method::GET, "/status") => self.ask(Question::Status).await,
             (&Method::GET, "/explain") => self.explain(uri.query()).await,
-            (&Method::POST, "/drain") => self.drain(),
+            (&Method::POST, "/drain") => drain(),
             _ => text(StatusCode::NOT_FOUND, "no such page\n"),
         }
     }
@@ -74,13 +87,6 @@
         response
     }
 
-    fn drain(&self) -> Response {
-        if let Err(error) = kill_process(getpid(), Signal::TERM) {
-            log::error!("event=drain-failed step=signal error=\"{error}\"");
-        }
-        text(StatusCode::ACCEPTED, "draining\n")
-    }
-
     async fn explain(&self, query: Option<&str>) -> Response {
         let (Some(service), Some(key)) = (field(query, "service"), field(query, "key")) else {
             return text(StatusCode::BAD_REQUEST, "give service=NAME and key=KEY\n");
@@ -90,7 +96,11 @@
 
     async fn ask(&self, question: Question) -> Response {
         let (answer, reply) = oneshot::channel();
-        let asked = self.shared.control.send(Command::Ask { question, answer }).await;
+        let asked = self
+            .shared
+            .control
+            .send(Command::Ask { question, answer })
+            .await;
         match (asked, reply.await) {
             (Ok(()), Ok(value)) => json_answer(&value),
             _ => text(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping\n"),
@@ -137,3 +147,11 @@
     response.headers_mut().insert("content-type", kind);
     response
 }
+
+/// Starts the shutdown in the same way as the signal does.
+fn drain() -> Response {
+    if let Err(error) = kill_process(getpid(), Signal::TERM) {
+        log::error!("event=drain-failed step=signal error=\"{error}\"");
+    }
+    text(StatusCode::ACCEPTED, "draining\n")
+}
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -25,7 +25,7 @@
 use crate::shared::Shared;
 
 /// Time in which a backend server must answer a probe or a grant.
-const PROBE_TIME: Duration = Duration::from_millis(1_000);
+const PROBE_TIME: Duration = Duration::from_secs(1);
 /// Largest answer to a probe or a grant, in bytes.
 const MAX_PROBE_BYTES: usize = 16 * 1024;
 /// Idle connections that are kept to one address.
@@ -65,7 +65,9 @@
     pub fn new() -> Result<Self, ClientError> {
         let mut builder = ClientBuilder::new();
         builder.set_max_idle_per_host(MAX_IDLE);
-        Ok(Self { http: builder.build()? })
+        Ok(Self {
+            http: builder.build()?,
+        })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -89,7 +91,9 @@
 #[must_use]
 pub fn ending(error: &ClientError) -> Ending {
     if *error.kind() == ErrorKind::Connect {
-        return Ending::NotConnected { refused: is_refused(error) };
+        return Ending::NotConnected {
+            refused: is_refused(error),
+        };
     }
     Ending::Broken
 }
@@ -97,10 +101,10 @@
 fn is_refused(error: &ClientError) -> bool {
     let mut source = error.source();
     while let Some(error) = source {
-        if let Some(io) = error.downcast_ref::<io::Error>() {
-            if io.kind() == io::ErrorKind::ConnectionRefused {
-                return true;
-            }
+        if let Some(io) = error.downcast_ref::<io::Error>()
+            && io.kind() == io::ErrorKind::ConnectionRefused
+        {
+            return true;
         }
         source = error.source();
     }
@@ -138,14 +142,37 @@
 
 async fn carry_out(shared: Shared, client: Client, order: Output) {
     let input = match order {
-        Output::Probe { shard, backend, addr } => {
+        Output::Probe {
+            shard,
+            backend,
+            addr,
+        } => {
             let result = timeout(PROBE_TIME, probe(&client, shared.dialled(addr))).await;
-            Input::Probed { shard, backend, result: result.unwrap_or(Probe::Failed) }
+            Input::Probed {
+                shard,
+                backend,
+                result: result.unwrap_or(Probe::Failed),
+            }
         }
-        Output::Grant { shard, backend, addr, fence, ticket } => {
-            let offer = Offer { shard: &shard, backend: &backend, fence, ticket };
+        Output::Grant {
+            shard,
+            backend,
+            addr,
+            fence,
+            ticket,
+        } => {
+            let offer = Offer {
+                shard: &shard,
+                backend: &backend,
+                fence,
+                ticket,
+            };
             let result = timeout(PROBE_TIME, grant(&client, shared.dialled(addr), &offer)).await;
-            Input::Granted { shard, backend, result: result.unwrap_or(Grant::Failed) }
+            Input::Granted {
+                shard,
+                backend,
+                result: result.unwrap_or(Grant::Failed),
+            }
         }
         _ => return,
     };
@@ -166,7 +193,7 @@
 }
 
 #[derive(Deserialize)]
-struct Granted {
+struct Offered {
     granted: bool,
     ticket: u64,
     instance: String,
@@ -183,9 +210,10 @@
     };
     match client.send(call).await {
         Ok(response) => match read::<Health>(response).await {
-            Some(health) => {
-                Probe::Answered { instance: health.instance, draining: health.state == "draining" }
-            }
+            Some(health) => Probe::Answered {
+                instance: health.instance,
+                draining: health.state == "draining",
+            },
             None => Probe::Failed,
         },
         Err(error) if is_refused(&error) => Probe::Refused,
@@ -205,9 +233,15 @@
     let mut headers = HeaderMap::new();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     let body = bytes::Bytes::from(body.to_string());
-    let call = Call { addr, method: &Method::POST, path: "/_grant", headers: &headers, body };
+    let call = Call {
+        addr,
+        method: &Method::POST,
+        path: "/_grant",
+        headers: &headers,
+        body,
+    };
     match client.send(call).await {
-        Ok(response) => match read::<Granted>(response).await {
+        Ok(response) => match read::<Offered>(response).await {
             Some(answer) => Grant::Answered {
                 granted: answer.granted,
                 ticket: answer.ticket,
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -49,7 +49,11 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("tarragon-router: {error}");
-            ExitCode::from(if error.is_input() { EXIT_INPUT } else { EXIT_FAILED })
+            ExitCode::from(if error.is_input() {
+                EXIT_INPUT
+            } else {
+                EXIT_FAILED
+            })
         }
     }
 }
@@ -67,7 +71,9 @@
 /// assert_eq!(parse(&args).unwrap(), Action::Check("router.jsonc".into()));
 /// ```
 pub fn parse(args: &[String]) -> Result<Action, Error> {
-    let matches = options().parse(args).map_err(|error| Error::Usage(error.to_string()))?;
+    let matches = options()
+        .parse(args)
+        .map_err(|error| Error::Usage(error.to_string()))?;
     if matches.opt_present("help") {
         return Ok(Action::Help);
     }
@@ -78,11 +84,16 @@
         return Err(Error::Usage(format!("unexpected argument {extra:?}")));
     }
     let missing = || Error::Usage("--settings FILE is required".to_owned());
-    let settings = matches.opt_str("settings").map(PathBuf::from).ok_or_else(missing)?;
+    let settings = matches
+        .opt_str("settings")
+        .map(PathBuf::from)
+        .ok_or_else(missing)?;
     if matches.opt_present("check") {
         return Ok(Action::Check(settings));
     }
-    let name = matches.opt_str("seeded-fault").unwrap_or_else(|| "none".to_owned());
+    let name = matches
+        .opt_str("seeded-fault")
+        .unwrap_or_else(|| "none".to_owned());
     let unknown = || Error::Usage(format!("unknown seeded fault {name:?}"));
     let flaw = Flaw::parse(&name).ok_or_else(unknown)?;
     Ok(Action::Run { settings, flaw })
@@ -103,7 +114,12 @@
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file, JSON with comments", "FILE");
     options.optflag("", "check", "check the settings and end");
-    options.optopt("", "seeded-fault", "break a rule on purpose (experiments only)", "NAME");
+    options.optopt(
+        "",
+        "seeded-fault",
+        "break a rule on purpose (experiments only)",
+        "NAME",
+    );
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
     options
@@ -129,7 +145,14 @@
     let me = Peer::new(settings.host.clone(), unix_micros() / 1_000);
     let (commands, inbox) = mpsc::channel(CONTROL_CAPACITY);
     let (publish, view) = watch::channel(Arc::new(View::default()));
-    let shared = Shared::new(Parts { settings, fleet_key, me, control: commands, view, flaw });
+    let shared = Shared::new(Parts {
+        settings,
+        fleet_key,
+        me,
+        control: commands,
+        view,
+        flaw,
+    });
     let control = control::spawn(shared.clone(), inbox, publish)?;
     let duties = kernel::start(&shared)?;
     for duty in duties {
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -35,7 +35,7 @@
 const CLOSE_AFTER: Duration = Duration::from_millis(300);
 /// Time without requests after which a leaving process ends: the server takes two seconds to
 /// close idle connections.
-const STOP_AFTER: Duration = Duration::from_millis(3_000);
+const STOP_AFTER: Duration = Duration::from_secs(3);
 
 /// Something for the control duty.
 #[derive(Debug)]
@@ -116,13 +116,18 @@
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
             match runtime {
                 Ok(runtime) => runtime.block_on(run(shared, inbox, publish)),
                 Err(error) => log::error!("event=duty-failed duty=control error=\"{error}\""),
             }
         })
-        .map_err(|source| Error::Start { duty: "control", source })
+        .map_err(|source| Error::Start {
+            duty: "control",
+            source,
+        })
 }
 
 async fn run(
@@ -177,7 +182,10 @@
         let (writes, write_inbox) = mpsc::channel(WRITES_CAPACITY);
         let client = backend::Client::new().ok()?;
         spawn_helper("exchange", exchange::send(shared.clone(), parcel_inbox))?;
-        spawn_helper("attend", backend::attend(shared.clone(), client, order_inbox))?;
+        spawn_helper(
+            "attend",
+            backend::attend(shared.clone(), client, order_inbox),
+        )?;
         spawn_helper("keeper", keeper::run(shared.clone(), write_inbox))?;
         let settings = node::Settings {
             me: shared.me.clone(),
@@ -214,7 +222,10 @@
     fn command(&mut self, command: Command) {
         match command {
             Command::Input(input) => self.input(input),
-            Command::Submit { submission, decisions } => {
+            Command::Submit {
+                submission,
+                decisions,
+            } => {
                 self.requests.insert(submission.id, decisions);
                 self.input(Input::Submit(submission));
             }
@@ -226,12 +237,15 @@
 
     fn input(&mut self, input: Input) {
         let ended = match &input {
-            Input::Ended { id, ending: Ending::Served | Ending::Cut } | Input::Cancelled { id } => {
-                Some(*id)
+            Input::Ended {
+                id,
+                ending: Ending::Served | Ending::Cut,
             }
+            | Input::Cancelled { id } => Some(*id),
             _ => None,
         };
-        self.node.handle(self.shared.clock.now(), input, &mut self.outputs);
+        self.node
+            .handle(self.shared.clock.now(), input, &mut self.outputs);
         if let Some(id) = ended {
             self.requests.remove(&id);
         }
@@ -254,7 +268,12 @@
             return;
         }
         let now = self.shared.clock.at();
-        if self.shared.in_flight.load(std::sync::atomic::Ordering::Acquire) > 0 {
+        if self
+            .shared
+            .in_flight
+            .load(std::sync::atomic::Ordering::Acquire)
+            > 0
+        {
             self.idle_since = None;
             return;
         }
@@ -280,8 +299,16 @@
                     self.shared.metrics.frame_dropped();
                 }
             }
-            Output::Write { shard, if_version, record } => {
-                let write = keeper::Write { shard, if_version, record: *record };
+            Output::Write {
+                shard,
+                if_version,
+                record,
+            } => {
+                let write = keeper::Write {
+                    shard,
+                    if_version,
+                    record: *record,
+                };
                 if let Err(error) = self.writes.try_send(write) {
                     let write = error.into_inner();
                     self.input(Input::Written {
@@ -291,9 +318,18 @@
                 }
             }
             Output::Dispatch { id, order } => self.dispatch(id, order),
-            Output::Refuse { id, outcome, reason, status } => {
+            Output::Refuse {
+                id,
+                outcome,
+                reason,
+                status,
+            } => {
                 if let Some(decisions) = self.requests.remove(&id) {
-                    let _ = decisions.try_send(Decision::Refuse { outcome, reason, status });
+                    let _ = decisions.try_send(Decision::Refuse {
+                        outcome,
+                        reason,
+                        status,
+                    });
                 }
             }
             Output::Abort { id } => {
@@ -311,13 +347,17 @@
 
     fn dispatch(&mut self, id: u64, order: Order) {
         let lease = self.leases.get(&order.shard).cloned().unwrap_or_default();
-        let sent = self
-            .requests
-            .get(&id)
-            .is_some_and(|decisions| decisions.try_send(Decision::Dispatch { order, lease }).is_ok());
+        let sent = self.requests.get(&id).is_some_and(|decisions| {
+            decisions
+                .try_send(Decision::Dispatch { order, lease })
+                .is_ok()
+        });
         if !sent {
             self.requests.remove(&id);
-            self.input(Input::Ended { id, ending: Ending::NotSent });
+            self.input(Input::Ended {
+                id,
+                ending: Ending::NotSent,
+            });
         }
     }
 
@@ -359,11 +399,16 @@
 where
     F: std::future::Future<Output = ()> + Send + 'static,
 {
-    let spawned = std::thread::Builder::new().name(name.to_owned()).spawn(move || {
-        match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-            Ok(runtime) => runtime.block_on(work),
-            Err(error) => log::error!("event=duty-failed duty={name} error=\"{error}\""),
-        }
-    });
+    let spawned = std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || {
+            match tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+            {
+                Ok(runtime) => runtime.block_on(work),
+                Err(error) => log::error!("event=duty-failed duty={name} error=\"{error}\""),
+            }
+        });
     spawned.ok().map(|_| ())
 }
--- a/crates/router/src/exchange/accept.rs
+++ b/crates/router/src/exchange/accept.rs
@@ -48,7 +48,9 @@
 async fn serve(shared: Shared, stream: TcpStream, from: SocketAddr) {
     let _ = stream.set_nodelay(true);
     if let Err(reason) = receive(&shared, stream).await {
-        let draft = Draft::new(Kind::BadFrame).with(Name::Peer, from).with(Name::Reason, reason);
+        let draft = Draft::new(Kind::BadFrame)
+            .with(Name::Peer, from)
+            .with(Name::Reason, reason);
         shared.record(draft);
     }
 }
@@ -69,7 +71,10 @@
         if let Item::Binary(bytes) = item {
             let frame: Frame = decode(&bytes).map_err(|error| error.to_string())?;
             shared.observe(frame.stamp);
-            let input = Input::Message { from: peer.clone(), message: frame.message };
+            let input = Input::Message {
+                from: peer.clone(),
+                message: frame.message,
+            };
             if shared.control.send(Command::Input(input)).await.is_err() {
                 return Ok(());
             }
@@ -88,7 +93,9 @@
     let Ok(mut socket) = accept_async_with_config(stream, Some(config)).await else {
         return Ok(None);
     };
-    let challenge = Challenge { nonce: rand::random() };
+    let challenge = Challenge {
+        nonce: rand::random(),
+    };
     let bytes = encode(&challenge).map_err(|error| error.to_string())?;
     if socket.send(Item::Binary(bytes.into())).await.is_err() {
         return Ok(None);
--- a/crates/router/src/exchange/auth.rs
+++ b/crates/router/src/exchange/auth.rs
@@ -40,7 +40,10 @@
 #[must_use]
 pub fn introduce(key: &[u8], challenge: &Challenge, me: &Peer) -> Introduction {
     let name = me.to_string();
-    Introduction { peer: me.clone(), mac: sign(key, &[&challenge.nonce, name.as_bytes()]) }
+    Introduction {
+        peer: me.clone(),
+        mac: sign(key, &[&challenge.nonce, name.as_bytes()]),
+    }
 }
 
 /// Checks the answer to a challenge.
--- a/crates/router/src/exchange/dial.rs
+++ b/crates/router/src/exchange/dial.rs
@@ -19,9 +19,9 @@
 /// Frames that may wait for one receiver; more are dropped, as a network would.
 const LINK_CAPACITY: usize = 1_024;
 /// Time in which a connection must be made and introduced.
-const CONNECT_TIME: Duration = Duration::from_millis(1_000);
+const CONNECT_TIME: Duration = Duration::from_secs(1);
 /// Time in which a frame must be handed to the network.
-const SEND_TIME: Duration = Duration::from_millis(1_000);
+const SEND_TIME: Duration = Duration::from_secs(1);
 /// Pause before a failed connection is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -35,12 +35,18 @@
     /// Starts without connections; each is made when something is to be sent.
     #[must_use]
     pub fn new(shared: Shared) -> Self {
-        Self { shared, links: HashMap::new() }
+        Self {
+            shared,
+            links: HashMap::new(),
+        }
     }
 
     /// Queues a message for its receiver, or drops it when too many wait.
     pub fn send(&mut self, parcel: &Parcel) {
-        let frame = Frame { stamp: self.shared.stamp(), message: parcel.message.clone() };
+        let frame = Frame {
+            stamp: self.shared.stamp(),
+            message: parcel.message.clone(),
+        };
         let bytes = match encode(&frame) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -49,7 +55,10 @@
             }
         };
         self.shared.metrics.control_bytes(bytes.len());
-        let link = self.links.entry(parcel.to).or_insert_with(|| open(&self.shared, parcel.to));
+        let link = self
+            .links
+            .entry(parcel.to)
+            .or_insert_with(|| open(&self.shared, parcel.to));
         if link.try_send(bytes).is_err() {
             self.shared.metrics.frame_dropped();
         }
@@ -82,7 +91,9 @@
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES));
     let url = format!("ws://{to}/");
-    let (mut socket, _) = client_async_with_config(url, stream, Some(config)).await.ok()?;
+    let (mut socket, _) = client_async_with_config(url, stream, Some(config))
+        .await
+        .ok()?;
     let Item::Binary(bytes) = socket.next().await?.ok()? else {
         return None;
     };
--- a/crates/router/src/exchange/mod.rs
+++ b/crates/router/src/exchange/mod.rs
@@ -27,7 +27,11 @@
 /// Parcels that may wait to be sent.
 pub const CAPACITY: usize = 16_384;
 
-inventory::submit!(Duty { name: "accept", threads: 1, start: start_accept });
+inventory::submit!(Duty {
+    name: "accept",
+    threads: 1,
+    start: start_accept
+});
 
 fn start_accept(shared: Shared) -> Work {
     Box::pin(accept::run(shared))
--- a/crates/router/src/front/forward.rs
+++ b/crates/router/src/front/forward.rs
@@ -21,8 +21,13 @@
 /// Time that the leader may take beyond a request's deadline.
 const GRACE: Duration = Duration::from_millis(500);
 /// Header fields of an answer that belong to one connection and are not passed on.
-const HOP_BY_HOP: [&str; 5] =
-    ["connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"];
+const HOP_BY_HOP: [&str; 5] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "trailer",
+    "upgrade",
+];
 
 /// Result of forwarding a request.
 pub enum Forwarded {
--- a/crates/router/src/front/lead.rs
+++ b/crates/router/src/front/lead.rs
@@ -26,15 +26,25 @@
 pub async fn run(shared: &Shared, client: &Client, task: &Task) -> Answer {
     let id = shared.next_request();
     let (sender, mut inbox) = decisions();
-    let command = Command::Submit { submission: submission(id, task), decisions: sender };
+    let command = Command::Submit {
+        submission: submission(id, task),
+        decisions: sender,
+    };
     if shared.control.send(command).await.is_err() {
         return Answer::refuse(Reason::Draining);
     }
-    let mut leave = Leave { shared: shared.clone(), id, input: Some(Input::Cancelled { id }) };
+    let mut leave = Leave {
+        shared: shared.clone(),
+        id,
+        input: Some(Input::Cancelled { id }),
+    };
     loop {
         match inbox.recv().await {
             Some(Decision::Dispatch { order, lease }) => {
-                leave.input = Some(Input::Ended { id, ending: Ending::Abandoned });
+                leave.input = Some(Input::Ended {
+                    id,
+                    ending: Ending::Abandoned,
+                });
                 let sent = send(shared, client, task, &order, &lease, &mut inbox).await;
                 match sent {
                     Ok(response) => return pass(shared, id, &order, response, inbox, leave),
@@ -44,7 +54,11 @@
                     }
                 }
             }
-            Some(Decision::Refuse { outcome, reason, status }) => {
+            Some(Decision::Refuse {
+                outcome,
+                reason,
+                status,
+            }) => {
                 leave.input = None;
                 return told(outcome, reason, status);
             }
@@ -122,7 +136,9 @@
         Err(_) => return Err(Ending::Aborted),
     };
     match text(response.headers(), REFUSED_HEADER) {
-        Some(why) => Err(Ending::Refused { fenced: matches!(why, "fence" | "expired") }),
+        Some(why) => Err(Ending::Refused {
+            fenced: matches!(why, "fence" | "expired"),
+        }),
         None => Ok(response),
     }
 }
@@ -163,11 +179,18 @@
 ) -> Answer {
     let (head, body) = response.into_parts();
     let instance = text(&head.headers, INSTANCE_HEADER).map(ToOwned::to_owned);
-    let responded = Input::Responded { id, status: head.status.as_u16(), instance };
+    let responded = Input::Responded {
+        id,
+        status: head.status.as_u16(),
+        instance,
+    };
     if let Err(error) = shared.control.try_send(Command::Input(responded)) {
         log::warn!("event=input-dropped request={id} error=\"{error}\"");
     }
-    leave.input = Some(Input::Ended { id, ending: Ending::Cut });
+    leave.input = Some(Input::Ended {
+        id,
+        ending: Ending::Cut,
+    });
     let abort = CancellationToken::new();
     let watch = abort.clone();
     let guard = abort.clone().drop_guard();
@@ -179,7 +202,11 @@
     });
     let idle = Duration::from_millis(shared.settings.limits.body_idle_ms);
     let chunks = relay::start(body, idle, abort, move |end| {
-        let ending = if end == End::Whole { Ending::Served } else { Ending::Cut };
+        let ending = if end == End::Whole {
+            Ending::Served
+        } else {
+            Ending::Cut
+        };
         leave.input = Some(Input::Ended { id, ending });
         drop(leave);
         drop(guard);
@@ -198,7 +225,9 @@
 fn told(outcome: Outcome, reason: Reason, status: Option<u16>) -> Answer {
     let mut answer = Answer::told(outcome, reason);
     if let Some(status) = status {
-        answer.headers.insert(STATUS_HEADER, value(&status.to_string()));
+        answer
+            .headers
+            .insert(STATUS_HEADER, value(&status.to_string()));
     }
     answer
 }
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -32,8 +32,16 @@
 /// Header that proves that a forwarded request comes from a router of the fleet.
 pub const FLEET_HEADER: &str = "tarragon-fleet";
 
-inventory::submit!(Duty { name: "callers", threads: CALLER_THREADS, start: start_callers });
-inventory::submit!(Duty { name: "forwarded", threads: FORWARD_THREADS, start: start_forwarded });
+inventory::submit!(Duty {
+    name: "callers",
+    threads: CALLER_THREADS,
+    start: start_callers
+});
+inventory::submit!(Duty {
+    name: "forwarded",
+    threads: FORWARD_THREADS,
+    start: start_forwarded
+});
 
 fn start_callers(shared: Shared) -> Work {
     Box::pin(async move {
@@ -55,8 +63,21 @@
         detail: error.to_string(),
     })?;
     let (close, stop) = (shared.close.clone(), shared.stop.clone());
-    let front = Front { shared, client, origin };
-    server::serve(addr, Limits { headers: MAX_HEADERS }, front, close, stop).await
+    let front = Front {
+        shared,
+        client,
+        origin,
+    };
+    server::serve(
+        addr,
+        Limits {
+            headers: MAX_HEADERS,
+        },
+        front,
+        close,
+        stop,
+    )
+    .await
 }
 
 /// Where a request comes from.
@@ -80,11 +101,15 @@
         let answer = self.answer(request).await;
         let seconds = self.shared.clock.at().since(started).as_secs_f64();
         if self.origin == Origin::Caller {
-            self.shared.metrics.answered(answer.outcome, answer.reason, seconds);
+            self.shared
+                .metrics
+                .answered(answer.outcome, answer.reason, seconds);
         }
         let mut response = answer.into_response(guard);
         if self.shared.drain.is_cancelled() {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            response
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
@@ -111,7 +136,10 @@
     }
 
     fn is_from_fleet(&self, request: &Request) -> bool {
-        let path = request.uri().path_and_query().map_or("", http::uri::PathAndQuery::as_str);
+        let path = request
+            .uri()
+            .path_and_query()
+            .map_or("", http::uri::PathAndQuery::as_str);
         let code = crate::backend::text(request.headers(), FLEET_HEADER).and_then(decode_hex);
         code.is_some_and(|code| auth::verify(&self.shared.fleet_key, &[path.as_bytes()], &code))
     }
@@ -121,10 +149,12 @@
 #[must_use]
 pub fn encode_hex(bytes: &[u8]) -> String {
     use std::fmt::Write as _;
-    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
+    bytes
+        .iter()
+        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
 }
 
 fn decode_hex(text: &str) -> Option<Vec<u8>> {
--- a/crates/router/src/front/parse.rs
+++ b/crates/router/src/front/parse.rs
@@ -81,11 +81,19 @@
 pub async fn read(shared: &Shared, view: &View, request: Request) -> Result<Task, Reason> {
     let arrived = shared.clock.at();
     let (head, body) = request.into_parts();
-    let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str).to_owned();
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or("/", http::uri::PathAndQuery::as_str)
+        .to_owned();
     let address = Address::parse(head.uri.path())?;
     let Some(service) = view.config.service(address.service) else {
         let unknown = view.config_version == 0;
-        return Err(if unknown { Reason::NoLeader } else { Reason::NoService });
+        return Err(if unknown {
+            Reason::NoLeader
+        } else {
+            Reason::NoService
+        });
     };
     let hash = Hash::of(address.key);
     let group = hash.group(service.groups);
@@ -174,7 +182,10 @@
 }
 
 fn class_of(service: &Service, rest: &str) -> u8 {
-    let matching = service.classes.iter().position(|class| rest.starts_with(&class.prefix));
+    let matching = service
+        .classes
+        .iter()
+        .position(|class| rest.starts_with(&class.prefix));
     u8::try_from(matching.unwrap_or_default()).unwrap_or_default()
 }
 
--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -95,7 +95,11 @@
     /// Makes the body of an HTTP answer.
     #[must_use]
     pub fn into_body(self, guard: InFlight) -> Body {
-        Body::from_body(Outgoing { chunks: self, _guard: guard, done: false })
+        Body::from_body(Outgoing {
+            chunks: self,
+            _guard: guard,
+            done: false,
+        })
     }
 }
 
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -28,7 +28,7 @@
 pub const LOST_HOSTS: &str = "lost-hosts";
 
 /// Time in which the store must answer.
-const STORE_TIME: Duration = Duration::from_millis(1_000);
+const STORE_TIME: Duration = Duration::from_secs(1);
 /// Longest wait of one watch.
 const WATCH_TIME: Duration = Duration::from_secs(20);
 /// Pause after a failed call.
@@ -85,11 +85,15 @@
     }
     let key = Key::new(SHARDS, &name);
     let expected = Version(write.if_version);
-    let result = match writer.update(key, expected, &write.record, &shared.stop).await {
+    let result = match writer
+        .update(key, expected, &write.record, &shared.stop)
+        .await
+    {
         Ok(Outcome::Won { version }) => Written::Won { version: version.0 },
-        Ok(Outcome::Lost { version, value }) => {
-            Written::Lost { version: version.0, record: value.map(Box::new) }
-        }
+        Ok(Outcome::Lost { version, value }) => Written::Lost {
+            version: version.0,
+            record: value.map(Box::new),
+        },
         Ok(Outcome::Unfinished) => {
             settle(&shared, &client, &write).await;
             return;
@@ -100,7 +104,14 @@
             Written::Failed
         }
     };
-    tell(&shared, Input::Written { shard: write.shard, result }).await;
+    tell(
+        &shared,
+        Input::Written {
+            shard: write.shard,
+            result,
+        },
+    )
+    .await;
 }
 
 /// Reads until the fate of an update is known; the decisions wait for it.
@@ -108,31 +119,55 @@
     let name = write.shard.object_name();
     let key = Key::new(SHARDS, &name);
     let expected = Version(write.if_version);
-    tell(shared, Input::Written { shard: write.shard.clone(), result: Written::Unfinished }).await;
+    tell(
+        shared,
+        Input::Written {
+            shard: write.shard.clone(),
+            result: Written::Unfinished,
+        },
+    )
+    .await;
     loop {
         if shared.stop.is_cancelled() {
             return;
         }
         let writer = Writer::new(client);
         let token = &write.record.token;
-        let result = match writer.settle::<Record>(key, expected, token, &shared.stop).await {
+        let result = match writer
+            .settle::<Record>(key, expected, token, &shared.stop)
+            .await
+        {
             Outcome::Won { version } => Written::Won { version: version.0 },
-            Outcome::Lost { version, value } => {
-                Written::Lost { version: version.0, record: value.map(Box::new) }
-            }
+            Outcome::Lost { version, value } => Written::Lost {
+                version: version.0,
+                record: value.map(Box::new),
+            },
             Outcome::Unfinished => {
                 sleep(RETRY_PAUSE).await;
                 continue;
             }
         };
-        tell(shared, Input::Written { shard: write.shard.clone(), result }).await;
+        tell(
+            shared,
+            Input::Written {
+                shard: write.shard.clone(),
+                result,
+            },
+        )
+        .await;
         return;
     }
 }
 
 /// Reads all objects of a kind, then follows their changes.
 async fn follow(shared: Shared, client: std::sync::Arc<Client>, kind: &'static str) {
-    let mut source = Source { shared, client, kind, objects: Vec::new(), away: false };
+    let mut source = Source {
+        shared,
+        client,
+        kind,
+        objects: Vec::new(),
+        away: false,
+    };
     while !source.shared.stop.is_cancelled() {
         match source.list().await {
             Ok(revision) => source.watch(revision).await,
@@ -160,7 +195,10 @@
 
     async fn watch(&mut self, mut after: Version) {
         while !self.shared.stop.is_cancelled() {
-            let watch = self.client.watch(self.kind, after, WATCH_TIME, &self.shared.stop).await;
+            let watch = self
+                .client
+                .watch(self.kind, after, WATCH_TIME, &self.shared.stop)
+                .await;
             match watch {
                 Ok(changes) => {
                     after = changes.revision.max(after);
@@ -197,7 +235,9 @@
     async fn tell(&self) {
         let input = match self.kind {
             config::KIND => self.config(),
-            HOSTS => Some(Input::Hosts(self.decoded().map(|(_, entry)| entry).collect())),
+            HOSTS => Some(Input::Hosts(
+                self.decoded().map(|(_, entry)| entry).collect(),
+            )),
             SHARDS => Some(Input::Records(self.records())),
             _ => {
                 for (_, lost) in self.decoded::<LostHost>() {
@@ -213,34 +253,48 @@
     }
 
     fn config(&self) -> Option<Input> {
-        let (object, config) =
-            self.decoded::<Config>().find(|(object, _)| object.name == config::OBJECT)?;
+        let (object, config) = self
+            .decoded::<Config>()
+            .find(|(object, _)| object.name == config::OBJECT)?;
         if let Err(problems) = config::check(&config) {
-            let wrong = problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ");
+            let wrong = problems
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+                .join("; ");
             self.refuse(object, &wrong);
             return None;
         }
-        Some(Input::Config { version: object.version.0, config: Box::new(config) })
+        Some(Input::Config {
+            version: object.version.0,
+            config: Box::new(config),
+        })
     }
 
     fn records(&self) -> Vec<ReadRecord> {
         self.decoded::<Record>()
             .filter_map(|(object, record)| {
                 let shard = shard::Id::parse(&object.name)?;
-                Some(ReadRecord { shard, version: object.version.0, record })
+                Some(ReadRecord {
+                    shard,
+                    version: object.version.0,
+                    record,
+                })
             })
             .collect()
     }
 
     /// Returns the objects that can be read; the others are reported and left out.
     fn decoded<T: serde::de::DeserializeOwned>(&self) -> impl Iterator<Item = (&Object, T)> {
-        self.objects.iter().filter_map(|object| match object.decode::<T>() {
-            Ok(value) => Some((object, value)),
-            Err(error) => {
-                self.refuse(object, &error.to_string());
-                None
-            }
-        })
+        self.objects
+            .iter()
+            .filter_map(|object| match object.decode::<T>() {
+                Ok(value) => Some((object, value)),
+                Err(error) => {
+                    self.refuse(object, &error.to_string());
+                    None
+                }
+            })
     }
 
     fn refuse(&self, object: &Object, wrong: &str) {
--- a/crates/router/src/kernel.rs
+++ b/crates/router/src/kernel.rs
@@ -30,7 +30,10 @@
 ///
 /// Fails when a thread or its runtime cannot be started.
 pub fn start(shared: &Shared) -> Result<Vec<JoinHandle<()>>, Error> {
-    inventory::iter::<Duty>.into_iter().map(|duty| spawn(duty, shared.clone())).collect()
+    inventory::iter::<Duty>
+        .into_iter()
+        .map(|duty| spawn(duty, shared.clone()))
+        .collect()
 }
 
 fn spawn(duty: &'static Duty, shared: Shared) -> Result<JoinHandle<()>, Error> {
@@ -62,7 +65,10 @@
         tokio::runtime::Builder::new_current_thread()
     };
     let built = builder.thread_name(duty.name).enable_all().build();
-    built.map_err(|source| Error::Start { duty: duty.name, source })
+    built.map_err(|source| Error::Start {
+        duty: duty.name,
+        source,
+    })
 }
 
 /// A duty that cannot go on takes the process down: the other hosts take over.
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -28,7 +28,9 @@
     #[must_use]
     pub fn new() -> Self {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
         let mut builder = SdkMeterProvider::builder();
         match exporter {
             Ok(exporter) => builder = builder.with_reader(exporter),
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -7,7 +7,11 @@
 use crate::kernel::{Duty, Work};
 use crate::shared::Shared;
 
-inventory::submit!(Duty { name: "signals", threads: 1, start });
+inventory::submit!(Duty {
+    name: "signals",
+    threads: 1,
+    start
+});
 
 fn start(shared: Shared) -> Work {
     Box::pin(run(shared))
@@ -15,7 +19,10 @@
 
 /// Waits for TERM or INT and starts the shutdown; HUP is ignored.
 async fn run(shared: Shared) -> Result<(), Error> {
-    let failed = |source| Error::Start { duty: "signals", source };
+    let failed = |source| Error::Start {
+        duty: "signals",
+        source,
+    };
     let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(failed)?;
