--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -163,7 +163,7 @@
     pub fn effect(self) -> &'static str {
         match self {
             Self::HostKill => "SIGKILL, restarted under the same name after for_ms",
-            Self::HostFreeze => "SIGSTOP, SIGCONT after for_ms",
+            Self::HostFreeze | Self::BackendFreeze => "SIGSTOP, SIGCONT after for_ms",
             Self::HostDrain => "SIGTERM, restarted for_ms after its end",
             Self::RollHosts => "all hosts replaced one by one",
             Self::LinkCut => "nothing passes between them",
@@ -182,7 +182,6 @@
             Self::OperatorsRace => "two conditional updates of the preset at once",
             Self::PresetChange => "an operator changes the preset",
             Self::BackendKill => "SIGKILL, restarted after for_ms",
-            Self::BackendFreeze => "SIGSTOP, SIGCONT after for_ms",
             Self::BackendDrain => "told to drain, restarted after for_ms",
             Self::BackendShed => "refuses work before running it",
             Self::BackendLie => "health and load endpoints mislead",
