--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -23,7 +23,8 @@
   sweep    run for several seeds, one after the other
   demo     show a small system that survives the loss of a host and a backend server
   standin  run a stand-in: store, backend or links
-  router   run a router
+  router   run a router (tarragon-router)
+  ctl      run the operators' command (tarragonctl)
 
 Ask each command for --help.";
 
@@ -35,6 +36,9 @@
         Some("run") => finish(run_command(rest)),
         Some("sweep") => finish(sweep_command(rest)),
         Some("demo") => finish(demo_command(rest)),
+        Some("standin") => standin_command(rest),
+        Some("router") => tarragon_router::cli::run(rest),
+        Some("ctl") => tarragonctl::cli::run(rest),
         Some("-h" | "--help" | "help") => {
             println!("{HELP}");
             ExitCode::SUCCESS
@@ -81,6 +85,11 @@
     interruptible(async |stop| sweep::sweep(&options, &stop).await)
 }
 
+fn standin_command(args: &[String]) -> ExitCode {
+    let _ = env_logger::try_init();
+    crate::standin::command(args)
+}
+
 fn demo_command(args: &[String]) -> Result<bool> {
     if !args.is_empty() {
         println!("Usage: lab demo\n\nTakes no options and ends in about 20 seconds.");
