--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,123 @@
+//! What an operator asked for, checked as far as the arguments alone allow.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use tarragon_model::config::{Backend, Place, PresetName};
+use tarragon_model::{backend, host, service};
+use tarragon_timeline::merge::Filter;
+
+/// What the arguments ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Invocation {
+    /// Print the usage.
+    Help,
+    /// Print the version.
+    Version,
+    /// Check a configuration file, which needs no store.
+    CheckFile(PathBuf),
+    /// Do the work.
+    Work(Command, Options),
+}
+
+/// Options that every command takes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Address of the platform's object API.
+    pub store: SocketAddr,
+    /// Print JSON.
+    pub json: bool,
+    /// Longest time to wait for an effect.
+    pub timeout: Duration,
+    /// Try a change again that lost a race and still applies.
+    pub retry: bool,
+}
+
+/// One command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Read from the configuration.
+    Show(Show),
+    /// Change the configuration.
+    Change(Change),
+    /// List the hosts.
+    ListHosts,
+    /// Declare a host lost.
+    LostHost(host::Id),
+    /// Show the fleet at a glance.
+    Status,
+    /// Show the owner of a key.
+    Owner(KeyQuery),
+    /// Show the owner of a key and why it is the owner.
+    Explain(KeyQuery),
+    /// Show the events of all hosts.
+    Timeline {
+        /// Chooses events.
+        filter: Filter,
+        /// Wait for more events.
+        follow: bool,
+    },
+}
+
+/// Part of the configuration to show.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Show {
+    /// The whole configuration.
+    Config,
+    /// The names of the services.
+    Services,
+    /// One service.
+    Service(service::Id),
+    /// The places.
+    Places,
+    /// The backend servers of one service or of all.
+    Backends(Option<service::Id>),
+    /// The presets.
+    Presets,
+}
+
+/// Change of the configuration; files are read when it is done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// Create the service in a file.
+    CreateService(PathBuf),
+    /// Replace the service of that name by the one in a file.
+    ChangeService(PathBuf),
+    /// Remove a service.
+    RemoveService(service::Id),
+    /// Add a place.
+    AddPlace(Place),
+    /// Remove a place.
+    RemovePlace(String),
+    /// Add a backend server.
+    AddBackend(service::Id, Backend),
+    /// Mark or remove a backend server.
+    MarkBackend(service::Id, backend::Id, Mark),
+    /// Choose the preset in force.
+    ChoosePreset(PresetName),
+    /// Replace the configuration by the one in a file.
+    Apply(PathBuf),
+}
+
+/// What to do to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    /// Take it out of service.
+    Drain,
+    /// Take it back into service.
+    Undrain,
+    /// Declare its process gone for good.
+    Lost,
+    /// Remove it.
+    Remove,
+}
+
+/// Names a key of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyQuery {
+    /// Service that holds the key.
+    pub service: service::Id,
+    /// Key as callers write it.
+    pub key: String,
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,8 @@
-//! Placeholder.
-fn main() {}
+//! Starts the operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<_> = std::env::args_os().skip(1).collect();
+    tarragonctl::cli::run(&args)
+}
--- /dev/null
+++ b/crates/ctl/tests/common/mod.rs
@@ -0,0 +1,233 @@
+//! Stand-ins for the store and the hosts behind the traits of the program.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::{BoxFuture, ready};
+use serde_json::{Value, json};
+use tarragon_model::config::{self, Config};
+use tarragon_store::api::{Answer, Api};
+use tarragon_store::error::{Error, Kind, Step};
+use tarragon_store::object::{Changes, Key, List, Object, Version};
+use tarragonctl::host::{self, Events, Explanation, Shards, Status};
+use tarragonctl::http;
+use tokio_util::sync::CancellationToken;
+
+/// What happens to the next write.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// Its answer is lost after it took effect.
+    LostAfter,
+    /// Its answer is lost and it takes no effect.
+    LostBefore,
+    /// Another operator writes this configuration first.
+    Overtaken(Config),
+    /// It takes effect, its answer is lost, and another operator writes on top of it.
+    LostThenReplaced(Config),
+    /// Its answer is lost before it took effect, and another operator writes.
+    LostAndOvertaken(Config),
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+    faults: Vec<Fault>,
+    puts: usize,
+}
+
+impl State {
+    fn write(&mut self, key: Key<'_>, value: Value) -> Version {
+        self.revision += 1;
+        let version = Version(self.revision);
+        let object = Object {
+            kind: key.kind.to_owned(),
+            name: key.name.to_owned(),
+            version,
+            value,
+        };
+        let place = (key.kind.to_owned(), key.name.to_owned());
+        self.objects.insert(place, object);
+        version
+    }
+
+    fn find(&self, key: Key<'_>) -> Option<&Object> {
+        let place = (key.kind.to_owned(), key.name.to_owned());
+        self.objects.get(&place)
+    }
+}
+
+/// Store in memory.
+#[derive(Default)]
+pub struct Store {
+    state: Mutex<State>,
+}
+
+impl Store {
+    pub fn with_config(config: &Config) -> Self {
+        let store = Self::default();
+        store.write(config::KIND, config::OBJECT, json!(config));
+        store
+    }
+
+    pub fn write(&self, kind: &str, name: &str, value: Value) -> Version {
+        self.lock().write(Key::new(kind, name), value)
+    }
+
+    pub fn fail_next(&self, fault: Fault) {
+        self.lock().faults.push(fault);
+    }
+
+    pub fn puts(&self) -> usize {
+        self.lock().puts
+    }
+
+    pub fn config(&self) -> Config {
+        let state = self.lock();
+        let object = state.find(Key::new(config::KIND, config::OBJECT));
+        object
+            .expect("a configuration")
+            .decode()
+            .expect("a configuration")
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("the store")
+    }
+
+    fn put_now(&self, key: Key<'_>, expected: Version, value: &Value) -> Result<Version, Kind> {
+        let lost = || Kind::Uncertain("the answer was lost".to_owned());
+        let mut state = self.lock();
+        state.puts += 1;
+        let fault = state.faults.pop();
+        if let Some(Fault::Overtaken(other) | Fault::LostAndOvertaken(other)) = &fault {
+            state.write(key, json!(other));
+        }
+        if let Some(Fault::LostBefore | Fault::LostAndOvertaken(_)) = &fault {
+            return Err(lost());
+        }
+        let version = state
+            .find(key)
+            .map_or(Version::ABSENT, |object| object.version);
+        if version != expected {
+            return Err(Kind::Conflict { version });
+        }
+        let version = state.write(key, value.clone());
+        match fault {
+            Some(Fault::LostAfter) => Err(lost()),
+            Some(Fault::LostThenReplaced(other)) => {
+                state.write(key, json!(other));
+                Err(lost())
+            }
+            _ => Ok(version),
+        }
+    }
+}
+
+fn error(step: Step, object: &str, kind: Kind) -> Error {
+    Error::new(step, object, "stand-in", kind)
+}
+
+impl Api for Store {
+    fn get<'a>(&'a self, key: Key<'a>, _: &'a CancellationToken) -> Answer<'a, Object> {
+        let found = self.lock().find(key).cloned();
+        ready(found.ok_or_else(|| error(Step::Get, &key.to_string(), Kind::NotFound))).boxed()
+    }
+
+    fn list<'a>(&'a self, kind: &'a str, _: &'a CancellationToken) -> Answer<'a, List> {
+        let state = self.lock();
+        let objects = state.objects.values().filter(|object| object.kind == kind);
+        let list = List {
+            revision: Version(state.revision),
+            items: objects.cloned().collect(),
+        };
+        ready(Ok(list)).boxed()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: Key<'a>,
+        expected: Version,
+        value: &'a Value,
+        _: &'a CancellationToken,
+    ) -> Answer<'a, Version> {
+        let result = self.put_now(key, expected, value);
+        ready(result.map_err(|kind| error(Step::Put, &key.to_string(), kind))).boxed()
+    }
+
+    fn delete<'a>(&'a self, key: Key<'a>, _: Version, _: &'a CancellationToken) -> Answer<'a, ()> {
+        let kind = Kind::Refused { status: 405 };
+        ready(Err(error(Step::Delete, &key.to_string(), kind))).boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        kind: &'a str,
+        _: Version,
+        _: Duration,
+        _: &'a CancellationToken,
+    ) -> Answer<'a, Changes> {
+        let refused = Kind::Refused { status: 405 };
+        ready(Err(error(Step::Watch, kind, refused))).boxed()
+    }
+}
+
+/// Hosts that answer by their port; a host that is absent is silent.
+#[derive(Default)]
+pub struct Hosts {
+    pub statuses: BTreeMap<u16, Status>,
+    pub explanations: BTreeMap<u16, Explanation>,
+}
+
+type HostAnswer<'a, T> = BoxFuture<'a, Result<T, http::Error>>;
+
+fn answer<'a, T: Clone + Send + 'a>(peer: SocketAddr, found: Option<&T>) -> HostAnswer<'a, T> {
+    let found = found.cloned();
+    let silent = http::Error::Connection {
+        step: "ask".to_owned(),
+        peer,
+        reason: "silent".to_owned(),
+    };
+    ready(found.ok_or(silent)).boxed()
+}
+
+impl host::Api for Hosts {
+    fn status(&self, host: SocketAddr) -> HostAnswer<'_, Status> {
+        answer(host, self.statuses.get(&host.port()))
+    }
+
+    fn shards(&self, host: SocketAddr) -> HostAnswer<'_, Shards> {
+        answer(host, None)
+    }
+
+    fn explain<'a>(
+        &'a self,
+        host: SocketAddr,
+        _: &'a str,
+        _: &'a str,
+    ) -> HostAnswer<'a, Explanation> {
+        answer(host, self.explanations.get(&host.port()))
+    }
+
+    fn events(&self, host: SocketAddr, _: u64, _: Duration) -> HostAnswer<'_, Events> {
+        answer(host, None)
+    }
+}
+
+/// Entry of the platform's host list.
+pub fn entry(name: &str, admin_port: u16) -> Value {
+    json!({
+        "id": name,
+        "region": "sindh",
+        "failure_domain": "karachi-1",
+        "peer_addr": "127.0.0.1:1",
+        "forward_addr": "127.0.0.1:2",
+        "admin_addr": format!("127.0.0.1:{admin_port}"),
+        "state": "live",
+    })
+}
