--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -1,6 +1,6 @@
 //! Turns arguments into a checked command.
 
-use std::ffi::OsString;
+use std::ffi::OsStr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -39,7 +39,7 @@
 /// use tarragonctl::args;
 /// use tarragonctl::command::{Command, Invocation};
 ///
-/// let args = ["--store", "127.0.0.1:7900", "status"].map(Into::into);
+/// let args = ["--store", "127.0.0.1:7900", "status"];
 /// let Ok(Invocation::Work(command, options)) = args::parse(&args, None) else { panic!() };
 /// assert_eq!(command, Command::Status);
 /// assert_eq!(options.store.port(), 7900);
@@ -48,7 +48,7 @@
 /// # Errors
 ///
 /// Fails with the first argument that is wrong or missing.
-pub fn parse(args: &[OsString], store: Option<&str>) -> Result<Invocation, Error> {
+pub fn parse<A: AsRef<OsStr>>(args: &[A], store: Option<&str>) -> Result<Invocation, Error> {
     let matches = grammar()
         .parse(args)
         .map_err(|error| Error::new(error.to_string()))?;
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,6 +1,6 @@
 //! Joins the command line, the work and the terminal.
 
-use std::ffi::OsString;
+use std::ffi::OsStr;
 use std::io::{self, Write};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 
 /// Runs the program with arguments that do not include its name.
 #[must_use]
-pub fn run(args: &[OsString]) -> ExitCode {
+pub fn run<A: AsRef<OsStr>>(args: &[A]) -> ExitCode {
     // A second initialisation fails when a test or another program in this process logs already.
     let _ = env_logger::try_init();
     let store = std::env::var(STORE_VARIABLE).ok();
--- a/crates/ctl/tests/args.rs
+++ b/crates/ctl/tests/args.rs
@@ -1,6 +1,5 @@
 //! Arguments, good and bad.
 
-use std::ffi::OsString;
 use std::time::Duration;
 
 use tarragon_timeline::event::Kind;
@@ -9,7 +8,7 @@
 use tarragonctl::usage;
 
 fn parse(line: &str) -> Result<Invocation, args::Error> {
-    let args: Vec<OsString> = line.split_whitespace().map(Into::into).collect();
+    let args: Vec<&str> = line.split_whitespace().collect();
     args::parse(&args, Some("127.0.0.1:7900"))
 }
 
@@ -107,11 +106,11 @@
 
 #[test]
 fn a_store_is_needed() {
-    let error = args::parse(&["status".into()], None)
+    let error = args::parse(&["status"], None)
         .expect_err("no store")
         .to_string();
     assert!(error.contains("TARRAGON_STORE"), "{error}");
-    let check = ["config", "check", "f"].map(Into::into);
+    let check = ["config", "check", "f"];
     assert!(matches!(
         args::parse(&check, None),
         Ok(Invocation::CheckFile(_))
