Remove the gaps of a trio's change and report commits under lease only

Change: a standby greets its leader, answers an early request when its promise ends, and the leader takes the lease over into its next epoch, where the standby that sealed keeps its promise.

--- a/crates/lease/src/follower.rs
+++ b/crates/lease/src/follower.rs
@@ -78,9 +78,8 @@
 
     /// Notes that the standby lacks the snapshot.
     pub fn on_missing(&mut self, now: Instant) {
-        if self.acked.take().is_some() {
-            self.resend_at = now;
-        }
+        self.acked = None;
+        self.resend_at = now;
     }
 
     /// Returns the state or the entries that the standby needs next.
--- a/crates/lease/src/member.rs
+++ b/crates/lease/src/member.rs
@@ -411,11 +411,22 @@
         }
         self.end(Reason::Superseded, out);
         let next = record.epoch == self.context.epoch + 1;
-        let complete = self
+        let own = self
             .proposal()
-            .is_some_and(|proposal| next && proposal.complete && proposal.trio == record.trio);
+            .filter(|proposal| next && proposal.trio == record.trio);
+        let complete = own.is_some_and(|proposal| proposal.complete);
+        let lease = match &self.duty {
+            Duty::Lead(reign) if own.is_some() => reign.lease(),
+            _ => None,
+        };
         self.context.adopt(record);
         self.enter(now, complete);
+        if let Duty::Lead(reign) = &mut self.duty {
+            if let Some(lease) = lease {
+                reign.inherit(&lease);
+            }
+            reign.start(now, &self.context, &self.held, out);
+        }
         self.tick(now, out);
         true
     }
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -81,7 +81,8 @@
         /// Number of entries that the standby holds.
         index: u64,
     },
-    /// Answer to [`Message::Append`]: the standby lacks the reign's snapshot.
+    /// Standby to leader: the standby lacks the reign's snapshot. Sent in answer to
+    /// [`Message::Append`] and when the standby takes up its part in the epoch.
     Missing {
         /// Reign of the leader.
         fence: Fence,
--- a/crates/lease/src/output.rs
+++ b/crates/lease/src/output.rs
@@ -42,7 +42,8 @@
         /// Why it ended.
         reason: Reason,
     },
-    /// Entries up to `index` are held by a standby and may be acted on.
+    /// Entries up to `index` are held by a standby and may be acted on. Reported only while the
+    /// lease lasts, so that no later reign has begun.
     Committed {
         /// Number of entries held.
         index: u64,
--- a/crates/lease/src/reign.rs
+++ b/crates/lease/src/reign.rs
@@ -29,6 +29,14 @@
     Resigned,
 }
 
+/// Lease that a standby has renewed.
+#[derive(Clone, Debug)]
+pub(crate) struct Lease {
+    peer: Peer,
+    /// When the renewal that was answered was sent.
+    renewed: Instant,
+}
+
 /// A reign as its leader runs it.
 #[derive(Clone, Debug)]
 pub(crate) struct Reign<S: State> {
@@ -56,6 +64,44 @@
         reign
     }
 
+    /// Takes over the lease of the same leader's reign in the epoch before.
+    ///
+    /// The standby that renewed it belongs to the new trio and keeps its promise there, and it
+    /// holds all that was committed.
+    pub fn inherit(&mut self, lease: &Lease) {
+        if let Some(follower) = self
+            .followers
+            .iter_mut()
+            .find(|other| other.peer == lease.peer)
+        {
+            follower.renewed = Some(lease.renewed);
+            self.shared = true;
+        }
+    }
+
+    /// Returns the lease that the next epoch's reign may inherit.
+    pub fn lease(&self) -> Option<Lease> {
+        if !self.is_acting() {
+            return None;
+        }
+        let Some(Proposal {
+            stage: Stage::Writing { through },
+            ..
+        }) = &self.proposal
+        else {
+            return None;
+        };
+        let through = through.as_ref()?;
+        let follower = self
+            .followers
+            .iter()
+            .find(|follower| follower.peer == *through)?;
+        Some(Lease {
+            peer: through.clone(),
+            renewed: follower.renewed?,
+        })
+    }
+
     /// Begins the reign of the first standby.
     pub fn of_first(now: Instant, context: &Context, index: u64, succession: Succession) -> Self {
         let mut reign = Self::new(now, context.fence(1), &[&context.trio.second], index);
@@ -159,6 +205,7 @@
             Message::Missing { .. } => {
                 follower.on_missing(now);
                 follower.hear(now);
+                self.renew(now, out);
             }
             Message::Sealed { index, .. } => {
                 follower.hear(now);
@@ -192,7 +239,8 @@
                 complete: held.complete,
             });
         }
-        if self.phase != Phase::Starting
+        if self.phase == Phase::Acting
+            && now < self.lease_until()
             && let Some(index) = acked
             && index > self.committed
         {
--- a/crates/lease/src/standby.rs
+++ b/crates/lease/src/standby.rs
@@ -46,6 +46,15 @@
     held: Position,
 }
 
+/// Request of the first standby that the second yield.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    seq: u64,
+    /// How far the first standby holds the state.
+    held: Position,
+    at: Instant,
+}
+
 /// Whom the second standby follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Follows {
@@ -69,6 +78,8 @@
     },
     Second {
         follows: Follows,
+        /// Latest request that came while the promise lasted.
+        asked: Option<Request>,
     },
 }
 
@@ -101,6 +112,8 @@
     side: Side,
     promise: Promise,
     sealed: bool,
+    /// Whether the leader has been told that this process awaits the snapshot.
+    greeted: bool,
     vacant_at: Instant,
     wake: Instant,
     /// Takeover that may take effect in the store at any time.
@@ -123,6 +136,7 @@
             now,
             Side::Second {
                 follows: Follows::Leader,
+                asked: None,
             },
         )
     }
@@ -133,8 +147,9 @@
             side,
             promise: Promise::new(now),
             sealed: false,
+            greeted: false,
             vacant_at: now,
-            wake: now + PROMISE,
+            wake: now,
             claim: None,
         }
     }
@@ -179,7 +194,12 @@
             Message::Yield {
                 seq, held: theirs, ..
             } if *from == context.trio.first => {
-                self.on_yield(now, context, held, seq, theirs, out);
+                let request = Request {
+                    seq,
+                    held: theirs,
+                    at: now,
+                };
+                self.on_yield(now, context, held, request, out);
             }
             message if leads => {
                 if let Some(reply) = self.follow(now, context, held, fence, message) {
@@ -209,6 +229,7 @@
         if fence.succession > 0 {
             self.side = Side::Second {
                 follows: Follows::First,
+                asked: None,
             };
         }
         match message {
@@ -246,7 +267,7 @@
         }
         match self.side {
             Side::First { .. } => fence.succession == 0,
-            Side::Second { follows } => (fence.succession == 0) == (follows == Follows::Leader),
+            Side::Second { follows, .. } => (fence.succession == 0) == (follows == Follows::Leader),
         }
     }
 
@@ -254,7 +275,8 @@
         let succeeded = matches!(
             self.side,
             Side::Second {
-                follows: Follows::First
+                follows: Follows::First,
+                ..
             }
         );
         succeeded.then(|| context.trio.first.clone())
@@ -263,7 +285,7 @@
     /// Tells whether the standby may take part in a succession.
     fn is_free(&self, now: Instant, context: &Context) -> bool {
         let followed = match self.side {
-            Side::Second { follows } if follows != Follows::Leader => &context.trio.first,
+            Side::Second { follows, .. } if follows != Follows::Leader => &context.trio.first,
             _ => &context.trio.leader,
         };
         context.flaw == Some(Flaw::NoPromise)
@@ -277,25 +299,24 @@
         now: Instant,
         context: &Context,
         held: &Held<S>,
-        seq: u64,
-        theirs: Position,
+        request: Request,
         out: &mut Vec<Output<S>>,
     ) {
         let free = self.is_free(now, context);
-        let Side::Second { follows } = &mut self.side else {
+        let Side::Second { follows, asked } = &mut self.side else {
             return;
         };
         if self.claim.is_some() {
             return;
         }
-        let fence = context.fence(1);
         let to = context.trio.first.clone();
         if *follows == Follows::Leader {
             if !free {
-                out.push(Output::Send {
-                    to,
-                    message: Message::Busy { fence },
-                });
+                *asked = Some(request);
+                let message = Message::Busy {
+                    fence: context.fence(1),
+                };
+                out.push(Output::Send { to, message });
                 return;
             }
             *follows = Follows::Nobody;
@@ -304,16 +325,42 @@
         if !self.sealed {
             self.promise.extend(now);
         }
-        let ahead = held.position() > theirs;
+        let message = self.yielded(context, held, request);
+        out.push(Output::Send { to, message });
+    }
+
+    fn yielded<S: State>(&self, context: &Context, held: &Held<S>, request: Request) -> Message<S> {
+        let ahead = held.position() > request.held;
         let skip = ahead && context.flaw == Some(Flaw::SkipYieldState);
-        let message = Message::Yielded {
-            fence,
-            seq,
+        Message::Yielded {
+            fence: context.fence(1),
+            seq: request.seq,
             sealed: self.sealed,
-            held: if skip { theirs } else { held.position() },
+            held: if skip { request.held } else { held.position() },
             state: (ahead && !skip).then(|| held.clone()),
+        }
+    }
+
+    /// Answers a request that came too early, as soon as the promise is over.
+    fn answer_late<S: State>(
+        &mut self,
+        now: Instant,
+        context: &Context,
+        held: &Held<S>,
+        out: &mut Vec<Output<S>>,
+    ) {
+        let Side::Second {
+            follows: Follows::Leader,
+            asked,
+        } = &mut self.side
+        else {
+            return;
         };
-        out.push(Output::Send { to, message });
+        if let Some(request) = asked.take()
+            && now < request.at + ASK_EVERY + ASK_EVERY
+        {
+            self.on_yield(now, context, held, request, out);
+        }
     }
 
     /// Takes in the second standby's answer.
@@ -349,7 +396,7 @@
         }
         match &self.side {
             Side::First { answer, .. } => self.right_of_first(now, context, held, *answer),
-            Side::Second { follows } => Self::right_of_second(now, context, held, *follows),
+            Side::Second { follows, .. } => Self::right_of_second(now, context, held, *follows),
         }
     }
 
@@ -390,7 +437,8 @@
         Right::Follow
     }
 
-    /// Asks the second standby to yield and reports a vacant shard, each when due.
+    /// Greets the leader, asks the second standby to yield and reports a vacant shard, each when
+    /// due.
     pub fn tick<S: State>(
         &mut self,
         now: Instant,
@@ -398,8 +446,19 @@
         held: &Held<S>,
         out: &mut Vec<Output<S>>,
     ) {
+        if !self.greeted {
+            self.greeted = true;
+            let message = Message::Missing {
+                fence: context.fence(0),
+            };
+            out.push(Output::Send {
+                to: context.trio.leader.clone(),
+                message,
+            });
+        }
         if self.is_free(now, context) {
             self.wake = now + RENEW_EVERY;
+            self.answer_late(now, context, held, out);
             self.ask(now, context, held, out);
         } else {
             self.wake = self.promise.until;
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -157,6 +157,8 @@
     pub began: Vec<(u64, Fence, Peer)>,
     /// Whether killed or silent standbys are replaced and vacant shards taken over.
     pub repair: bool,
+    /// Whether proposals name no dead process.
+    pub foresight: bool,
     pub store_lose_next: u32,
     /// First violation seen.
     pub broken: Option<String>,
@@ -209,6 +211,7 @@
             tally: Tally::default(),
             began: Vec::new(),
             repair: true,
+            foresight: false,
             store_lose_next: 0,
             broken: None,
             processes,
@@ -259,6 +262,20 @@
         self.now = self.now.max(end);
     }
 
+    /// Runs up to `end` and returns the longest time without an actor, in microseconds.
+    pub fn longest_gap(&mut self, end: u64) -> u64 {
+        let mut longest = 0;
+        let mut since = self.now;
+        while self.now < end {
+            self.run_until(self.now + MS / 2);
+            if !self.actors().is_empty() {
+                since = self.now;
+            }
+            longest = longest.max(self.now - since);
+        }
+        longest
+    }
+
     /// Returns the hosts whose process may act now.
     pub fn actors(&self) -> Vec<usize> {
         let acting = |process: &Process| {
@@ -574,7 +591,10 @@
         let mut others: Vec<Peer> = self
             .processes
             .iter()
-            .filter(|other| other.peer != me && (other.alive || self.rng.next().is_multiple_of(4)))
+            .filter(|other| {
+                other.peer != me
+                    && (other.alive || (!self.foresight && self.rng.next().is_multiple_of(4)))
+            })
             .map(|other| other.peer.clone())
             .collect();
         if others.len() < 2 {
