Give up long runs for waiting work and keep the word of admission

And 1.4 % of refusals came after a wait of a second.

Scheduler::preempt names runs to cancel, of those that the caller allows; admitted requests become urgent at 85 % of their wait; arrivals are averaged over 200 ms in place of 500 ms.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -28,6 +28,9 @@
     /// Returns until when the request may wait for a slot.
     fn give_up(&self, offer: &Offer) -> Instant;
 
+    /// Returns from when on an admitted request that still waits goes before the others.
+    fn urgent_at(&self, offer: &Offer) -> Instant;
+
     /// Admits a request to the queue, or says why not.
     ///
     /// # Errors
@@ -38,6 +41,9 @@
     /// Returns the slots, of `limit`, that work likely to be long may not hold.
     fn reserve(&self, limit: usize) -> usize;
 
+    /// Tells whether long runs are given up for waiting work.
+    fn preempts(&self) -> bool;
+
     /// Tells whether classes are kept to their `max_slots`.
     fn bounds_classes(&self) -> bool;
 }
--- a/crates/policy/src/admission/deadline.rs
+++ b/crates/policy/src/admission/deadline.rs
@@ -5,6 +5,9 @@
 //! factor of the square root of two apart, so that noise in the estimates does not reorder work.
 //! Within a level the request that must start first goes first.
 //!
+//! An admitted request that is about to wait too long goes first all the same: it was told that it
+//! would be served, and a late refusal costs its caller the wait.
+//!
 //! A request is refused on arrival when the work before it, together with the work of smaller
 //! levels that keeps arriving, would keep it waiting beyond its limit. So the queue holds little
 //! that will not run, and a refusal costs the caller no wait.
@@ -30,6 +33,12 @@
 /// Largest part of the time left that typical work may take off the waiting time.
 const MAX_TYPICAL_PART: f64 = 0.5;
 
+/// Part of the longest wait up to which a predicted wait is admitted; the rest covers its error.
+const ADMITTED_PART: f64 = 0.7;
+
+/// Part of the longest wait after which an admitted request is urgent.
+const URGENT_PART: f64 = 0.85;
+
 inventory::submit! {
     Plugin { name: NAME, create: || Box::new(WeightedDeadline) }
 }
@@ -52,8 +61,13 @@
         offer.now + longest_wait(offer)
     }
 
+    fn urgent_at(&self, offer: &Offer) -> Instant {
+        offer.now + longest_wait(offer).mul_f64(URGENT_PART)
+    }
+
     fn admit(&self, offer: &Offer, backlog: &Backlog) -> Result<(), Reason> {
-        if backlog.idle || predicted_wait(offer, backlog) <= longest_wait(offer).as_secs_f64() {
+        let limit = longest_wait(offer).as_secs_f64() * ADMITTED_PART;
+        if backlog.idle || predicted_wait(offer, backlog) <= limit {
             return Ok(());
         }
         Err(Reason::Overloaded)
@@ -63,6 +77,10 @@
         limit / RESERVE_DIVISOR
     }
 
+    fn preempts(&self) -> bool {
+        true
+    }
+
     fn bounds_classes(&self) -> bool {
         true
     }
--- a/crates/policy/src/admission/fifo.rs
+++ b/crates/policy/src/admission/fifo.rs
@@ -27,6 +27,10 @@
         offer.deadline
     }
 
+    fn urgent_at(&self, offer: &Offer) -> Instant {
+        offer.deadline
+    }
+
     fn admit(&self, _offer: &Offer, _backlog: &Backlog) -> Result<(), Reason> {
         Ok(())
     }
@@ -35,6 +39,10 @@
         0
     }
 
+    fn preempts(&self) -> bool {
+        false
+    }
+
     fn bounds_classes(&self) -> bool {
         false
     }
--- a/crates/policy/src/duration.rs
+++ b/crates/policy/src/duration.rs
@@ -42,6 +42,18 @@
     pub long: bool,
 }
 
+impl Estimate {
+    /// Returns the estimate for a request of the same class that is known to be long.
+    #[must_use]
+    pub fn as_long(self) -> Self {
+        Self {
+            typical: self.typical.mul_f64(LONG_FACTOR),
+            mean: self.mean.mul_f64(LONG_FACTOR),
+            long: true,
+        }
+    }
+}
+
 /// Learns the work of requests.
 ///
 /// ```
@@ -97,7 +109,12 @@
     }
 
     /// Records that a request ran for `work` and was then given up.
+    ///
+    /// The work counts for the mean, since it took a slot, but says nothing about the median.
     pub fn observe_unfinished(&mut self, class: u8, key: key::Hash, work: Duration) {
+        if let Some(known) = self.classes.get_mut(usize::from(class)) {
+            known.follow_mean(work.as_secs_f64());
+        }
         if work >= self.long_from(class) {
             self.long_keys.insert(class, key);
         }
@@ -156,6 +173,10 @@
     fn observe(&mut self, bucket: usize, work: f64) {
         self.all.push(work as f32);
         self.buckets[bucket].push(work as f32);
+        self.follow_mean(work);
+    }
+
+    fn follow_mean(&mut self, work: f64) {
         self.samples = self.samples.saturating_add(1);
         let gain = (1.0 / f64::from(self.samples)).max(MEAN_GAIN);
         let clipped = work.min(self.typical() * MEAN_CLIP);
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -8,8 +8,7 @@
 //! first. Invariants are checked where work starts: they are counted in [`Violations`] and
 //! asserted in debug builds.
 
-use std::collections::{BTreeSet, HashMap};
-use std::time::Duration;
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use tarragon_model::time::Instant;
 use tarragon_model::{config, key};
@@ -22,13 +21,14 @@
 mod dispatch;
 mod intake;
 mod outlook;
+mod preempt;
 mod queue;
 mod request;
 mod server;
 
 pub use request::{Action, Ending, Request, Settings, Target};
 
-use queue::{Kind, Position, Queue};
+use queue::{Kind, Queue, Ticket};
 use server::{Run, Server};
 
 /// Times that an invariant was found broken.
@@ -96,6 +96,7 @@
     running: HashMap<u64, u16>,
     running_alone: usize,
     decided: Vec<Action>,
+    preempted: VecDeque<u64>,
     sequence: u64,
     durations: Learner,
     speeds: Estimator,
@@ -107,9 +108,7 @@
 struct Waiting {
     request: Request,
     place: Place,
-    kind: Kind,
-    position: Position,
-    work: Duration,
+    ticket: Ticket,
     give_up: Instant,
 }
 
@@ -140,6 +139,7 @@
             running: HashMap::new(),
             running_alone: 0,
             decided: Vec::new(),
+            preempted: VecDeque::new(),
             sequence: 0,
             durations: Learner::default(),
             speeds: Estimator::default(),
@@ -256,8 +256,8 @@
         self.start_common(now, actions);
         for index in 0..self.servers.len() {
             let backend = u16::try_from(index).unwrap_or(u16::MAX);
-            while let Some(position) = self.first_owned(now, backend) {
-                self.start(now, position.id, backend, actions);
+            while let Some(head) = self.first_owned(now, backend) {
+                self.start(now, head.id, backend, actions);
             }
         }
     }
@@ -301,6 +301,16 @@
         self.runs().filter(|run| run.group == group).count()
     }
 
+    /// Returns the number of running requests of a group on one backend server.
+    ///
+    /// A group may move when this is zero for its owner; keys of the group that have owners of
+    /// their own run elsewhere and do not count.
+    #[must_use]
+    pub fn running_of_at(&self, group: key::Group, backend: u16) -> usize {
+        let runs = self.server(backend).map_or(&[][..], |server| &server.runs);
+        runs.iter().filter(|run| run.group == group).count()
+    }
+
     /// Returns the number of running requests of a key.
     #[must_use]
     pub fn running_of_key(&self, key: key::Hash) -> usize {
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -1,15 +1,13 @@
 //! Dispatch: which waiting request takes a free slot.
 
-use std::collections::HashMap;
-
 use smallvec::SmallVec;
 use tarragon_model::key;
 use tarragon_model::outcome::Reason;
 use tarragon_model::time::Instant;
 
-use super::queue::Position;
+use super::queue::Head;
 use super::server::Run;
-use super::{Action, Scheduler, Waiting};
+use super::{Action, Scheduler};
 use crate::choice;
 
 impl Scheduler {
@@ -29,34 +27,33 @@
     pub(super) fn start_common(&mut self, now: Instant, actions: &mut Vec<Action>) {
         while self.common.len() > 0 {
             let free = self.candidates(|server| server.free(now, self.slots) > 0);
-            let first = self.common.first(|kind| {
+            let first = self.common.first(now, |kind| {
                 free.iter()
                     .any(|server| self.is_eligible(now, server.backend, kind))
             });
-            let Some((kind, position)) = first else {
+            let Some(head) = first else {
                 return;
             };
             let fit: SmallVec<[choice::Candidate; 8]> = free
                 .into_iter()
-                .filter(|server| self.is_eligible(now, server.backend, kind))
+                .filter(|server| self.is_eligible(now, server.backend, head.kind))
                 .collect();
-            let backend = self.choice.choose(key_of(&self.waiting, position), &fit);
+            let backend = self.choice.choose(self.key_of(head.id), &fit);
             let owned = self.first_owned(now, backend);
-            let next = owned.map_or(position, |owned| owned.min(position));
-            self.start(now, next.id, backend, actions);
+            let next = owned.filter(|owned| owned.claim < head.claim);
+            self.start(now, next.unwrap_or(head).id, backend, actions);
         }
     }
 
     /// Returns the first request that may start in the queue of a backend server.
-    pub(super) fn first_owned(&self, now: Instant, backend: u16) -> Option<Position> {
+    pub(super) fn first_owned(&self, now: Instant, backend: u16) -> Option<Head> {
         let server = self.server(backend)?;
         if server.queue.len() == 0 || server.free(now, self.slots) == 0 {
             return None;
         }
         server
             .queue
-            .first(|kind| self.is_eligible(now, backend, kind))
-            .map(|(_, position)| position)
+            .first(now, |kind| self.is_eligible(now, backend, kind))
     }
 
     /// Starts a waiting request.
@@ -69,11 +66,13 @@
         let run = Run {
             id,
             started: now,
-            long_from: self.long_from(now, &request, waiting.kind, backend),
+            long_from: self.long_from(now, &request, waiting.ticket.kind, backend),
             class: request.class,
             key: request.key,
             group: request.group,
             alone: request.alone,
+            weight: request.weight,
+            deadline: request.deadline,
         };
         self.servers[usize::from(backend)].runs.push(run);
         self.running.insert(id, backend);
@@ -91,11 +90,11 @@
         debug_assert!(!full, "no slot is free on server {backend}");
         debug_assert!(!stopped, "server {backend} takes no work");
     }
-}
 
-/// Returns the key of a waiting request.
-fn key_of(waiting: &HashMap<u64, Waiting>, position: Position) -> key::Hash {
-    waiting
-        .get(&position.id)
-        .map_or(key::Hash(0), |waiting| waiting.request.key)
+    /// Returns the key of a waiting request.
+    fn key_of(&self, id: u64) -> key::Hash {
+        self.waiting
+            .get(&id)
+            .map_or(key::Hash(0), |waiting| waiting.request.key)
+    }
 }
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -6,7 +6,7 @@
 use tarragon_model::outcome::Reason;
 use tarragon_model::time::Instant;
 
-use super::queue::{Kind, Position};
+use super::queue::{Kind, Position, Queue, Ticket};
 use super::server::Server;
 use super::{Place, Request, Scheduler, Target, Waiting};
 use crate::choice;
@@ -32,17 +32,23 @@
         };
         let rank = self.admission.rank(&offer);
         let backlog = self.backlog(now, place, kind, rank.level);
-        self.admission.admit(&offer, &backlog)?;
+        if let Err(reason) = self.admission.admit(&offer, &backlog) {
+            self.queue_mut(place).record_refusal(now, rank.level);
+            return Err(reason);
+        }
         self.sequence += 1;
         let waiting = Waiting {
             place,
-            kind,
-            position: Position {
-                rank,
-                sequence: self.sequence,
-                id: request.id,
+            ticket: Ticket {
+                kind,
+                position: Position {
+                    rank,
+                    sequence: self.sequence,
+                    id: request.id,
+                },
+                work: offer.estimate.mean,
+                urgent_at: self.admission.urgent_at(&offer),
             },
-            work: offer.estimate.mean,
             give_up: self.admission.give_up(&offer).min(request.deadline),
             request,
         };
@@ -83,12 +89,10 @@
 
     fn enqueue(&mut self, now: Instant, waiting: Waiting) {
         let id = waiting.request.id;
-        let queue = match waiting.place {
-            Place::Server(backend) => &mut self.servers[usize::from(backend)].queue,
-            Place::Common => &mut self.common,
-        };
-        queue.insert(waiting.kind, waiting.position, waiting.work);
-        queue.record_inflow(now, waiting.position.rank.level, waiting.work);
+        let queue = self.queue_mut(waiting.place);
+        let ticket = waiting.ticket;
+        queue.insert(&ticket);
+        queue.record_inflow(now, ticket.position.rank.level, ticket.work);
         self.expiries.insert((waiting.give_up, id));
         self.waiting.insert(id, waiting);
     }
@@ -96,11 +100,8 @@
     /// Removes a waiting request.
     pub(super) fn dequeue(&mut self, id: u64) -> Option<Waiting> {
         let waiting = self.waiting.remove(&id)?;
-        let queue = match waiting.place {
-            Place::Server(backend) => &mut self.servers[usize::from(backend)].queue,
-            Place::Common => &mut self.common,
-        };
-        queue.remove(waiting.kind, waiting.position, waiting.work);
+        let queue = self.queue_mut(waiting.place);
+        queue.remove(&waiting.ticket);
         self.expiries.remove(&(waiting.give_up, id));
         Some(waiting)
     }
@@ -111,7 +112,7 @@
             .waiting
             .values()
             .filter(|waiting| matches(&waiting.request))
-            .map(|waiting| (waiting.position.sequence, waiting.request.id))
+            .map(|waiting| (waiting.ticket.position.sequence, waiting.request.id))
             .collect();
         found.sort_unstable();
         found
@@ -134,4 +135,11 @@
             self.submit(now, request);
         }
     }
+
+    fn queue_mut(&mut self, place: Place) -> &mut Queue {
+        match place {
+            Place::Server(backend) => &mut self.servers[usize::from(backend)].queue,
+            Place::Common => &mut self.common,
+        }
+    }
 }
--- a/crates/policy/src/scheduler/outlook.rs
+++ b/crates/policy/src/scheduler/outlook.rs
@@ -19,12 +19,16 @@
             Place::Server(backend) => self.speeds.speed(backend),
             Place::Common => 1.0,
         };
+        let mut estimate = self.durations.estimate(request.class, request.key);
+        if self.was_preempted(request.id) && !estimate.long {
+            estimate = estimate.as_long();
+        }
         Offer {
             now,
             deadline: request.deadline,
             weight: request.weight,
             retry: request.retry,
-            estimate: self.durations.estimate(request.class, request.key),
+            estimate,
             speed,
             wait_percent: self.preset.wait_percent,
         }
--- a/crates/policy/src/scheduler/queue.rs
+++ b/crates/policy/src/scheduler/queue.rs
@@ -9,7 +9,7 @@
 use crate::admission::Rank;
 
 /// Time over which arrivals are averaged.
-const INFLOW_WINDOW: Duration = Duration::from_millis(500);
+const INFLOW_WINDOW: Duration = Duration::from_millis(200);
 /// Levels of arrivals that are kept apart; the busiest stay.
 const MAX_LEVELS: usize = 32;
 
@@ -35,12 +35,55 @@
     pub(super) id: u64,
 }
 
+/// Waiting request, as a queue keeps it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ticket {
+    /// What decides whether the request may start.
+    pub(super) kind: Kind,
+    /// Place in the order.
+    pub(super) position: Position,
+    /// Expected work at speed 1.
+    pub(super) work: Duration,
+    /// Time from which on the request goes before those that are not urgent.
+    pub(super) urgent_at: Instant,
+}
+
+/// Claim of a request to the next slot; the smaller claim wins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Claim {
+    /// The request was admitted and must start soon; since when and its number.
+    Urgent(Instant, u64),
+    /// The request has time.
+    Ranked(Position),
+}
+
+/// Request that is first in a queue.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Head {
+    /// What decides whether the request may start.
+    pub(super) kind: Kind,
+    /// Claim to the next slot.
+    pub(super) claim: Claim,
+    /// Identifier of the request.
+    pub(super) id: u64,
+}
+
 /// Waiting requests of one backend server or of all.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     lanes: SmallVec<[Lane; 4]>,
     inflow: SmallVec<[Inflow; 8]>,
     len: usize,
+    refused: Option<Refused>,
+}
+
+/// Latest refusal of work by the admission policy.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refused {
+    /// Time of the refusal.
+    pub(super) at: Instant,
+    /// Level that the work had.
+    pub(super) level: i32,
 }
 
 /// Waiting requests of one kind.
@@ -48,9 +91,18 @@
 struct Lane {
     kind: Kind,
     positions: BTreeSet<Position>,
+    urgent: BTreeSet<Urgency>,
     work: SmallVec<[Work; 4]>,
 }
 
+/// When a waiting request becomes urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Urgency {
+    at: Instant,
+    sequence: u64,
+    id: u64,
+}
+
 /// Waiting work of one level.
 #[derive(Clone, Copy, Debug)]
 struct Work {
@@ -67,21 +119,22 @@
 }
 
 impl Queue {
-    /// Adds a request whose expected work is `work`.
-    pub(super) fn insert(&mut self, kind: Kind, position: Position, work: Duration) {
+    /// Adds a request.
+    pub(super) fn insert(&mut self, ticket: &Ticket) {
+        let kind = ticket.kind;
         let index = self.lanes.iter().position(|lane| lane.kind == kind);
         let index = index.unwrap_or_else(|| {
             self.lanes.push(Lane::new(kind));
             self.lanes.len() - 1
         });
-        self.lanes[index].insert(position, work);
+        self.lanes[index].insert(ticket);
         self.len += 1;
     }
 
-    /// Removes a request that was added with the same arguments.
-    pub(super) fn remove(&mut self, kind: Kind, position: Position, work: Duration) {
-        let lane = self.lanes.iter_mut().find(|lane| lane.kind == kind);
-        if lane.is_some_and(|lane| lane.remove(position, work)) {
+    /// Removes a request.
+    pub(super) fn remove(&mut self, ticket: &Ticket) {
+        let lane = self.lanes.iter_mut().find(|lane| lane.kind == ticket.kind);
+        if lane.is_some_and(|lane| lane.remove(ticket)) {
             self.len -= 1;
         }
     }
@@ -101,12 +154,12 @@
     }
 
     /// Returns the first request, in order, of the kinds that may start.
-    pub(super) fn first(&self, eligible: impl Fn(Kind) -> bool) -> Option<(Kind, Position)> {
+    pub(super) fn first(&self, now: Instant, eligible: impl Fn(Kind) -> bool) -> Option<Head> {
         self.lanes
             .iter()
-            .filter_map(|lane| Some((lane.kind, *lane.positions.first()?)))
-            .filter(|(kind, _)| eligible(*kind))
-            .min_by_key(|(_, position)| *position)
+            .filter(|lane| !lane.positions.is_empty() && eligible(lane.kind))
+            .filter_map(|lane| lane.head(now))
+            .min_by_key(|head| head.claim)
     }
 
     /// Returns the waiting work of the kinds given, up to a level and with it.
@@ -144,6 +197,16 @@
         seconds / INFLOW_WINDOW.as_secs_f64()
     }
 
+    /// Records that work was refused.
+    pub(super) fn record_refusal(&mut self, at: Instant, level: i32) {
+        self.refused = Some(Refused { at, level });
+    }
+
+    /// Returns the latest refusal.
+    pub(super) fn refused(&self) -> Option<Refused> {
+        self.refused
+    }
+
     /// Makes room for one more level of arrivals.
     fn drop_least_inflow(&mut self, now: Instant) {
         if self.inflow.len() < MAX_LEVELS {
@@ -162,24 +225,45 @@
         Self {
             kind,
             positions: BTreeSet::new(),
+            urgent: BTreeSet::new(),
             work: SmallVec::new(),
         }
     }
 
-    fn insert(&mut self, position: Position, work: Duration) {
-        self.positions.insert(position);
-        let level = position.rank.level;
+    /// Returns the request with the best claim to a slot.
+    fn head(&self, now: Instant) -> Option<Head> {
+        let urgent = self.urgent.first().filter(|urgency| urgency.at <= now);
+        if let Some(urgency) = urgent {
+            return Some(Head {
+                kind: self.kind,
+                claim: Claim::Urgent(urgency.at, urgency.sequence),
+                id: urgency.id,
+            });
+        }
+        let position = *self.positions.first()?;
+        Some(Head {
+            kind: self.kind,
+            claim: Claim::Ranked(position),
+            id: position.id,
+        })
+    }
+
+    fn insert(&mut self, ticket: &Ticket) {
+        self.positions.insert(ticket.position);
+        self.urgent.insert(Urgency::of(ticket));
+        let (level, work) = (ticket.position.rank.level, ticket.work);
         match self.work.iter_mut().find(|entry| entry.level == level) {
             Some(entry) => entry.total += work,
             None => self.work.push(Work { level, total: work }),
         }
     }
 
-    fn remove(&mut self, position: Position, work: Duration) -> bool {
-        if !self.positions.remove(&position) {
+    fn remove(&mut self, ticket: &Ticket) -> bool {
+        if !self.positions.remove(&ticket.position) {
             return false;
         }
-        let level = position.rank.level;
+        self.urgent.remove(&Urgency::of(ticket));
+        let (level, work) = (ticket.position.rank.level, ticket.work);
         if let Some(entry) = self.work.iter_mut().find(|entry| entry.level == level) {
             entry.total = entry.total.saturating_sub(work);
         }
@@ -188,6 +272,16 @@
     }
 }
 
+impl Urgency {
+    fn of(ticket: &Ticket) -> Self {
+        Self {
+            at: ticket.urgent_at,
+            sequence: ticket.position.sequence,
+            id: ticket.position.id,
+        }
+    }
+}
+
 impl Inflow {
     fn new(now: Instant, level: i32) -> Self {
         Self {
--- a/crates/policy/src/scheduler/server.rs
+++ b/crates/policy/src/scheduler/server.rs
@@ -48,6 +48,10 @@
     pub(super) group: key::Group,
     /// Whether no other such request may run in the shard.
     pub(super) alone: bool,
+    /// Worth of an answer in time.
+    pub(super) weight: u32,
+    /// Time after which the answer is worthless.
+    pub(super) deadline: Instant,
 }
 
 /// Backend server and its queue.
