Read bodies while backend stand-ins' requests wait for a slot

Cause: a request with a body larger than the server reads ahead started its work although the caller had left while it waited in the queue, since the server sees the end of a connection only once the body is read.

Ruled out: reading the body before the queue, since an upload would then pass a full backend server unrefused.

Conclusion: cancellation covers waiting requests too.

--- a/crates/lab/src/standin/backend/http.rs
+++ b/crates/lab/src/standin/backend/http.rs
@@ -1,7 +1,9 @@
 //! The backend server's HTTP port.
 
+use std::pin::pin;
 use std::sync::Arc;
 
+use futures::future::maybe_done;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
@@ -104,9 +106,21 @@
 }
 
 /// Runs the work of a request, if it may run.
+///
+/// The body is read while the request waits for a slot, since the server only sees the caller go
+/// away once the body is read.
 async fn work(state: &Arc<State>, head: &Parts, body: Body) -> Response {
     let order = Order::read(head);
-    let slot = match admit(state, &order).await {
+    let mut body = pin!(maybe_done(consume(body)));
+    let slot = {
+        let mut admitted = pin!(admit(state, &order));
+        tokio::select! {
+            biased;
+            slot = &mut admitted => slot,
+            () = &mut body => admitted.await,
+        }
+    };
+    let slot = match slot {
         Ok(slot) => slot,
         Err(reason) => return refused(state, reason),
     };
@@ -117,7 +131,8 @@
     }
     let time = state.time_of(order.work_us);
     let labour = async {
-        consume(body).await?;
+        body.as_mut().await;
+        body.as_mut().take_output().unwrap_or(Ok(()))?;
         tokio::time::sleep(time).await;
         Ok(())
     };
--- a/crates/lab/src/standin/serve.rs
+++ b/crates/lab/src/standin/serve.rs
@@ -68,8 +68,8 @@
 ///
 /// The library drops the handler's future when the caller closes the connection: its HTTP/1
 /// connection reads on while a handler runs, takes the end of the stream as the end of the
-/// connection, and owns the future. This holds once the request's body has been read to its end,
-/// since an unread body keeps the connection from reading on.
+/// connection, and owns the future. This holds once the request's body has been read, apart from
+/// its last part: an unread body keeps the connection from reading on.
 ///
 /// # Errors
 ///
--- a/crates/lab/tests/standin/backend.rs
+++ b/crates/lab/tests/standin/backend.rs
@@ -38,6 +38,17 @@
     process.get("/_load").await.json()[name].as_u64().unwrap()
 }
 
+async fn has_queued(process: &Process, expected: u64) {
+    let reached = async {
+        while load(process, "queued").await != expected {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(support::PATIENCE, reached)
+        .await
+        .unwrap();
+}
+
 fn peak_kib(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
     let line = status.lines().find(|line| line.starts_with("VmHWM:"));
@@ -104,14 +115,30 @@
         let one = spawn(&process, "/s/k1/one?work_us=60000000");
         has_states(&dir, "/s/k1/one", &["started"]).await;
         let two = spawn(&process, "/s/k1/two");
-        while load(&process, "queued").await == 0 {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
+        has_queued(&process, 1).await;
         assert!(states(&dir.path(RECORD), "/s/k1/two").is_empty());
         one.abort();
         assert_eq!(two.await.unwrap().unwrap().status, StatusCode::OK);
     }
 
+    queued_work_whose_caller_left_never_starts(dir) {
+        let process = start(&dir, "--slots 1 --queue 1");
+        let one = spawn(&process, "/s/k1/one?work_us=60000000");
+        has_states(&dir, "/s/k1/one", &["started"]).await;
+        let addr = process.addr;
+        let two = tokio::spawn(async move {
+            // Larger than what the server reads ahead of the handler.
+            let body = "x".repeat(4_000_000);
+            support::call(addr, Method::POST, "/s/k1/two", &[], &body).await
+        });
+        has_queued(&process, 1).await;
+        two.abort();
+        has_queued(&process, 0).await;
+        one.abort();
+        assert_eq!(call(&process, "/s/k1/three").await.unwrap().status, StatusCode::OK);
+        assert!(states(&dir.path(RECORD), "/s/k1/two").is_empty());
+    }
+
     a_closed_connection_cancels_the_work(dir) {
         let process = start(&dir, "");
         let work = spawn(&process, "/s/k1/x?work_us=60000000");
