End stand-ins well at SIGTERM when no connection is open

Cause: the server library takes SIGTERM too and returns at once when it has no connections; a stand-in that saw this first ended with exit code 1. Seen in a trial in which four idle processes were stopped.

Change: the stand-in's own signal is looked at first, and a server that ended well is no failure.

--- a/crates/lab/src/standin/serve.rs
+++ b/crates/lab/src/standin/serve.rs
@@ -1,8 +1,8 @@
 //! The HTTP port of a stand-in, from its address to SIGTERM.
 //!
-//! The server library takes the signals itself and then waits for open connections; a stand-in
-//! ends at once, as a process that the platform stops. Requests that run are dropped with the
-//! runtime.
+//! The server library takes the signals itself (SIGHUP too) and then waits for open connections;
+//! a stand-in ends at once, as a process that the platform stops. Requests that run are dropped
+//! with the runtime.
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -91,8 +91,9 @@
     let server = Server::new(router).span_provider(Counter::new(limits.count));
     announce(port.addr)?;
     tokio::select! {
-        result = server.run(gate) => Err(Error::Serve(format!("{result:?}"))),
+        biased;
         () = stops.recv() => Ok(()),
+        result = server.run(gate) => result.map_err(|error| Error::Serve(error.to_string())),
     }
 }
 
--- a/crates/lab/tests/standin/store.rs
+++ b/crates/lab/tests/standin/store.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
+use rustix::process::Signal;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tarragon_store::api::Api;
@@ -196,6 +197,14 @@
         assert_eq!(client.list(KEY.kind, &stop()).await.unwrap().items, []);
     }
 
+    an_idle_process_ends_well_at_sigterm(_dir) {
+        for _ in 0..20 {
+            let (mut process, _) = start("");
+            process.signal(Signal::TERM);
+            assert!(process.wait().success());
+        }
+    }
+
     a_fault_ends_by_itself(_dir) {
         let (process, client) = start("");
         process.fault(r#"{"kind":"down","for_ms":200}"#).await;
