Test slow work and late answers of backend stand-ins

Cause: speed, cold start, cost of connections and late answers had no case.

Change: one case with lower bounds only; the handler of work is split in two.

--- a/crates/lab/src/standin/backend/http.rs
+++ b/crates/lab/src/standin/backend/http.rs
@@ -1,9 +1,9 @@
 //! The backend server's HTTP port.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 
-use futures::future::maybe_done;
+use futures::future::{MaybeDone, maybe_done};
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
@@ -120,10 +120,22 @@
             () = &mut body => admitted.await,
         }
     };
-    let slot = match slot {
-        Ok(slot) => slot,
-        Err(reason) => return refused(state, reason),
-    };
+    match slot {
+        Ok(slot) => perform(state, &order, body, slot).await,
+        Err(reason) => refused(state, reason),
+    }
+}
+
+/// Runs the work of an order in its slot.
+async fn perform<F>(
+    state: &Arc<State>,
+    order: &Order,
+    mut body: Pin<&mut MaybeDone<F>>,
+    slot: OwnedSemaphorePermit,
+) -> Response
+where
+    F: Future<Output = Result<(), BrokenBody>>,
+{
     let run = Run::start(Arc::clone(state), order.clone());
     if order.poison {
         log::warn!("event=poisoned request={}", order.request);
@@ -132,11 +144,11 @@
     let time = state.time_of(order.work_us);
     let labour = async {
         body.as_mut().await;
-        body.as_mut().take_output().unwrap_or(Ok(()))?;
+        body.take_output().unwrap_or(Ok(()))?;
         tokio::time::sleep(time).await;
         Ok(())
     };
-    match within(&order, labour).await {
+    match within(order, labour).await {
         Some(Ok(())) => {}
         Some(Err(BrokenBody)) => return reply::closed_connection(),
         None => {
@@ -145,7 +157,7 @@
         }
     }
     match run.commit() {
-        Ok(()) => done(state, &order, slot),
+        Ok(()) => done(state, order, slot),
         Err(_) => refused(state, "expired"),
     }
 }
--- a/crates/lab/tests/standin/backend.rs
+++ b/crates/lab/tests/standin/backend.rs
@@ -1,6 +1,6 @@
 //! The backend server's stand-in: work, records and faults.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
@@ -207,6 +207,20 @@
         tokio::time::timeout(support::PATIENCE, again).await.unwrap();
     }
 
+    slow_starts_machines_and_answers_take_their_time(dir) {
+        let process = start(&dir, "--speed 0.5 --cold-ms 60000 --connect-us 50000");
+        process.fault(r#"{"kind":"slow","factor":2}"#).await;
+        process.fault(r#"{"kind":"late","delay_ms":100}"#).await;
+        let start = Instant::now();
+        let answer = call(&process, "/s/k1/x?work_us=10000").await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        // 10 ms at half the speed, four times slower while cold, twice by the fault.
+        assert!(start.elapsed() >= Duration::from_millis(50 + 160 + 100));
+        let stats = process.get("/_stats").await.json();
+        assert_eq!(stats["committed"], 1);
+        assert!(stats["busy_us"].as_u64().unwrap() >= 160_000);
+    }
+
     draining_refuses_new_work_and_ends_the_old(dir) {
         let process = start(&dir, "");
         let old = spawn(&process, "/s/k1/old?work_us=1000000");
