--- a/crates/lab/src/fleet/layout.rs
+++ b/crates/lab/src/fleet/layout.rs
@@ -21,6 +21,11 @@
 /// Slowest and fastest speed of a backend server, in percent of the nominal speed.
 const SPEED_PERCENT: std::ops::RangeInclusive<u32> = 100..=400;
 
+/// Longest time that a backend server goes on with work whose connection is gone, in
+/// milliseconds; longer than any fault freezes it.
+const ORPHAN_MS: u32 = 60_000;
+const BITS_PER_MBIT: u64 = 1_000_000;
+
 /// Host and its addresses.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Host {
@@ -101,6 +106,22 @@
         };
         format!("{}>{}:{kind}", self.from, self.to)
     }
+
+    /// Describes the link to the fault proxy; links between the same regions share their rate.
+    fn describe(&self, bits: u64) -> serde_json::Value {
+        let mut link = json!({
+            "name": self.name(),
+            "listen": self.listen,
+            "target": self.target,
+            "delay_us": self.round_trip_us / 2,
+        });
+        let (from, to) = (&self.from_place.region, &self.to_place.region);
+        if from != to {
+            link["mbit_per_s"] = json!(bits / BITS_PER_MBIT);
+            link["group"] = json!(format!("{from}>{to}"));
+        }
+        link
+    }
 }
 
 /// All processes of a run.
@@ -120,6 +141,10 @@
     pub store_addr: SocketAddr,
     /// Address on which the fault proxy takes orders.
     pub links_addr: SocketAddr,
+    /// Cost of a new connection to a backend server, in microseconds.
+    pub connect_us: u64,
+    /// Rate of the link between two regions, in bits per second.
+    pub link_bits: u64,
     ports: Block,
 }
 
@@ -144,6 +169,8 @@
             links: Vec::new(),
             store_addr,
             links_addr,
+            connect_us: deployment.connect_us,
+            link_bits: deployment.link_bits,
             ports,
         };
         layout.plan_links(deployment)?;
@@ -225,6 +252,13 @@
             let text = format!("{:#}\n", self.settings(host));
             write(&self.settings_path(host), text.as_bytes())?;
         }
+        let links: Vec<_> = self
+            .links
+            .iter()
+            .map(|link| link.describe(self.link_bits))
+            .collect();
+        let links = json!({ "links": links }).to_string();
+        write(&self.links_path(), links.as_bytes())?;
         let config = serde_json::to_vec_pretty(&self.config).unwrap_or_default();
         write(&self.path("config.json"), &config)
     }
@@ -365,6 +399,7 @@
         slots: SLOTS,
         connections: service.connections,
         deadline_ms: service.deadline_ms,
+        orphan_ms: ORPHAN_MS,
         classes: service.classes(),
     };
     Config {
