--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -13,7 +13,7 @@
 use crate::probe::Gaps;
 use crate::run;
 use crate::system::System;
-use crate::trace::{self, Accepted, Attempt, Gap, Span, Work};
+use crate::trace::{self, Accepted, Attempt, Ending, Gap, Span, Work};
 use crate::verdict::outage::Spread;
 use crate::verdict::summary::Summary;
 use crate::verdict::{Breach, answer, capacity, config, effect, leave, outage, owner};
@@ -40,6 +40,8 @@
     pub gaps: BTreeMap<String, Spread>,
     /// Longest gaps.
     pub longest: Vec<Gap>,
+    /// Attempts that were not served, by service, ending and reason.
+    pub endings: BTreeMap<String, u64>,
 }
 
 /// Gaps that a report names.
@@ -156,9 +158,27 @@
         breaches,
         gaps: outage::by_kind(&traces.gaps),
         longest: longest_gaps(&traces.gaps),
+        endings: endings(&traces.attempts),
     }
 }
 
+fn endings(attempts: &[Attempt]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for attempt in attempts {
+        let reason = match attempt.ending {
+            Ending::Answered(_) => attempt.reason.as_str(),
+            _ => "-",
+        };
+        let service = &attempt.service;
+        let line = format!(
+            "service={service} ending={:?} reason={reason}",
+            attempt.ending
+        );
+        *counts.entry(line).or_default() += 1;
+    }
+    counts
+}
+
 fn longest_uncovered(gaps: &[Gap]) -> u64 {
     let uncovered = gaps.iter().filter(|gap| !gap.covered);
     uncovered.map(Gap::millis).max().unwrap_or_default()
@@ -174,6 +194,9 @@
 impl Report {
     /// Prints the report; its last line holds all figures.
     pub fn print(&self) {
+        for (ending, count) in &self.endings {
+            println!("attempts {ending} count={count}");
+        }
         for (kind, spread) in &self.gaps {
             println!(
                 "gaps faults={kind} count={} p50_ms={} p99_ms={} max_ms={}",
