--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -23,22 +23,25 @@
 }
 
 async fn ask_any(api: &dyn Api, hosts: &[Entry], query: &KeyQuery) -> Result<Explanation, Error> {
-    let mut reason = "the platform lists no host".to_owned();
+    let mut failure = Error::NoHost {
+        step: "explain",
+        reason: "the platform lists no host".to_owned(),
+    };
     for host in hosts {
-        match ask_one(api, host, query).await {
-            Ok(answer) => return Ok(answer),
-            Err(crate::http::Error::Status { status: 404, .. }) => {
-                return Err(Error::Absent {
-                    what: "service",
-                    name: query.service.to_string(),
-                    command: "service list",
-                });
-            }
-            Err(error) => reason = error.to_string(),
-        }
+        failure = match ask_one(api, host, query).await {
+            Ok(answer) if answer.shard.is_some() => return Ok(answer),
+            Ok(_) => Error::Absent {
+                what: "service",
+                name: query.service.to_string(),
+                command: "service list",
+            },
+            Err(error) => Error::NoHost {
+                step: "explain",
+                reason: error.to_string(),
+            },
+        };
     }
-    let step = "explain";
-    Err(Error::NoHost { step, reason })
+    Err(failure)
 }
 
 async fn ask_one(
--- a/crates/ctl/src/host.rs
+++ b/crates/ctl/src/host.rs
@@ -107,9 +107,11 @@
     /// Key as callers write it.
     pub key: String,
     /// Group of the key.
-    pub group: Label,
-    /// Shard of the key.
-    pub shard: Label,
+    #[serde(default)]
+    pub group: Option<Label>,
+    /// Shard of the key; absent when the host knows no such service.
+    #[serde(default)]
+    pub shard: Option<Label>,
     /// Leader of the shard.
     #[serde(default)]
     pub leader: Option<Label>,
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -258,8 +258,8 @@
     let mut text = format!(
         "owner={} shard={} group={} leader={}\n",
         known(&answer.owner),
-        answer.shard.0,
-        answer.group.0,
+        known(&answer.shard),
+        known(&answer.group),
         known(&answer.leader)
     );
     for reason in answer.why.iter().filter(|_| reasons) {
--- a/crates/ctl/tests/fleet.rs
+++ b/crates/ctl/tests/fleet.rs
@@ -158,6 +158,7 @@
     Explanation {
         leader: Some(Label(leader.to_owned())),
         owner: owner.map(|owner| Label(owner.to_owned())),
+        shard: Some(Label("balance.0".to_owned())),
         ..Explanation::default()
     }
 }
@@ -190,6 +191,9 @@
     leader_silent: Some(explanation("h2#9", Some("b1"))), None => Some(Some("b1".to_owned()));
     first_silent: None, Some(explanation("h2#9", Some("b0"))) => Some(Some("b0".to_owned()));
     all_silent: None, None => None;
+    first_knows_no_service: Some(Explanation::default()), Some(explanation("h2#9", Some("b0")))
+        => Some(Some("b0".to_owned()));
+    none_knows_the_service: Some(Explanation::default()), None => None;
 }
 
 #[test]
