--- a/crates/lab/src/standin/backend/http.rs
+++ b/crates/lab/src/standin/backend/http.rs
@@ -1,7 +1,9 @@
 //! The backend server's HTTP port.
 
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 
+use futures::future::{MaybeDone, maybe_done};
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::BodyExt;
@@ -104,12 +106,36 @@
 }
 
 /// Runs the work of a request, if it may run.
+///
+/// The body is read while the request waits for a slot, since the server only sees the caller go
+/// away once the body is read.
 async fn work(state: &Arc<State>, head: &Parts, body: Body) -> Response {
     let order = Order::read(head);
-    let slot = match admit(state, &order).await {
-        Ok(slot) => slot,
-        Err(reason) => return refused(state, reason),
+    let mut body = pin!(maybe_done(consume(body)));
+    let slot = {
+        let mut admitted = pin!(admit(state, &order));
+        tokio::select! {
+            biased;
+            slot = &mut admitted => slot,
+            () = &mut body => admitted.await,
+        }
     };
+    match slot {
+        Ok(slot) => perform(state, &order, body, slot).await,
+        Err(reason) => refused(state, reason),
+    }
+}
+
+/// Runs the work of an order in its slot.
+async fn perform<F>(
+    state: &Arc<State>,
+    order: &Order,
+    mut body: Pin<&mut MaybeDone<F>>,
+    slot: OwnedSemaphorePermit,
+) -> Response
+where
+    F: Future<Output = Result<(), BrokenBody>>,
+{
     let run = Run::start(Arc::clone(state), order.clone());
     if order.poison {
         log::warn!("event=poisoned request={}", order.request);
@@ -117,11 +143,12 @@
     }
     let time = state.time_of(order.work_us);
     let labour = async {
-        consume(body).await?;
+        body.as_mut().await;
+        body.take_output().unwrap_or(Ok(()))?;
         tokio::time::sleep(time).await;
         Ok(())
     };
-    match within(&order, labour).await {
+    match within(order, labour).await {
         Some(Ok(())) => {}
         Some(Err(BrokenBody)) => return reply::closed_connection(),
         None => {
@@ -130,7 +157,7 @@
         }
     }
     match run.commit() {
-        Ok(()) => done(state, &order, slot),
+        Ok(()) => done(state, order, slot),
         Err(_) => refused(state, "expired"),
     }
 }
