--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -13,7 +13,7 @@
 /// Time for which an identifier is remembered, by its own time.
 pub const RETENTION: Duration = Duration::from_mins(15);
 
-/// Greatest difference between the clocks of a caller and of a leader that is tolerated.
+/// Greatest difference between the wall clocks of any two callers and leaders that is tolerated.
 pub const CLOCK_SKEW: Duration = Duration::from_secs(5);
 
 /// Identifiers remembered at most, unless told otherwise.
--- /dev/null
+++ b/crates/ledger/tests/ledger.rs
@@ -0,0 +1,218 @@
+//! The ledger never lets a request run twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use tarragon_ledger::ledger::{CLOCK_SKEW, Entry, Ledger, RETENTION, Verdict};
+
+/// Start of the tests, in milliseconds since the Unix epoch.
+const START: u64 = 1_800_000_000_000;
+const MINUTE: u64 = 60_000;
+
+fn id(unix_ms: u64, tail: u64) -> u128 {
+    (u128::from(unix_ms) << 80) | (7 << 76) | (0b10 << 62) | u128::from(tail)
+}
+
+fn dispatched(id: u128) -> Entry {
+    Entry::Dispatched {
+        id,
+        fingerprint: 1,
+        at: START,
+    }
+}
+
+fn millis(span: std::time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap()
+}
+
+/// Names a case: entries applied in order, then the verdict on one identifier.
+macro_rules! verdicts {
+    ($($name:ident: [$($entry:expr),*], $time:expr => $verdict:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut ledger = Ledger::new(2);
+            let entries: Vec<Entry> = vec![$($entry),*];
+            for entry in &entries {
+                ledger.apply(entry);
+            }
+            assert_eq!(ledger.check(START, id($time, 1), 1), $verdict);
+        }
+    )*};
+}
+
+fn one() -> u128 {
+    id(START, 1)
+}
+
+verdicts! {
+    unseen_is_fresh: [], START => Verdict::Fresh;
+    dispatched_is_running: [dispatched(one())], START => Verdict::Running;
+    finished_is_done: [dispatched(one()), Entry::Finished { id: one(), status: 201 }], START
+        => Verdict::Done { status: 201 };
+    unresolved_is_unknown: [dispatched(one()), Entry::Unresolved { id: one() }], START
+        => Verdict::Unknown;
+    late_answer_resolves: [
+        dispatched(one()),
+        Entry::Unresolved { id: one() },
+        Entry::Finished { id: one(), status: 200 }
+    ], START => Verdict::Done { status: 200 };
+    new_reign_leaves_unknown: [dispatched(one()), Entry::Reign], START => Verdict::Unknown;
+    not_run_is_fresh_again: [dispatched(one()), Entry::NotRun { id: one() }], START
+        => Verdict::Fresh;
+    done_stays_done: [
+        dispatched(one()),
+        Entry::Finished { id: one(), status: 200 },
+        Entry::NotRun { id: one() },
+        Entry::Unresolved { id: one() },
+        Entry::Reign
+    ], START => Verdict::Done { status: 200 };
+    full_memory_refuses_new: [dispatched(id(START, 2)), dispatched(id(START, 3))], START
+        => Verdict::Overloaded;
+    full_memory_knows_old: [dispatched(one()), dispatched(id(START, 3))], START
+        => Verdict::Running;
+    before_lost_memory_is_not_run: [Entry::Horizon { at: START }], START
+        => Verdict::BeyondMemory;
+    within_clock_skew_of_lost_memory_is_not_run: [Entry::Horizon { at: START - 4_999 }], START
+        => Verdict::BeyondMemory;
+    after_lost_memory_is_fresh: [Entry::Horizon { at: START - 5_000 }], START => Verdict::Fresh;
+    expired_is_not_run: [dispatched(one()), Entry::Expire { before: START + 1 }], START
+        => Verdict::BeyondMemory;
+    older_than_retention_is_not_run: [], START - 15 * MINUTE - 1 => Verdict::BeyondMemory;
+    as_old_as_retention_is_fresh: [], START - 15 * MINUTE => Verdict::Fresh;
+    within_clock_skew_is_fresh: [], START + 5_000 => Verdict::Fresh;
+    beyond_clock_skew_is_from_future: [], START + 5_001 => Verdict::FromFuture;
+}
+
+#[test]
+fn other_request_with_the_identifier_is_a_mismatch() {
+    let mut ledger = Ledger::default();
+    ledger.apply(&dispatched(one()));
+    assert_eq!(ledger.check(START, one(), 2), Verdict::Mismatch);
+}
+
+#[test]
+fn other_versions_are_not_timed() {
+    let random = 0x1234_5678_9abc_4def_8000_0000_0000_0000;
+    assert_eq!(Ledger::default().check(START, random, 1), Verdict::NotTimed);
+}
+
+#[test]
+fn memory_is_bounded_and_expires() {
+    let mut ledger = Ledger::default();
+    for tail in 0..1_000 {
+        ledger.apply(&dispatched(id(START + tail, tail)));
+    }
+    assert_eq!(ledger.len(), 1_000);
+    assert!(ledger.bytes() < 64_000);
+    let before = Ledger::expiry(START + 500 + millis(RETENTION));
+    ledger.apply(&Entry::Expire { before });
+    assert_eq!(ledger.len(), 500);
+    assert_eq!(ledger.horizon(), START + 500);
+}
+
+/// What happens next in a history of requests.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A caller sends a new identifier or one that it sent before; the fate of the run follows.
+    Send { request: u64, fate: Fate },
+    /// Another leader takes over, with its own clock.
+    Succeed { clock_ms: u64, lost: bool },
+    /// Time passes.
+    Wait { ms: u64 },
+}
+
+/// What becomes of a dispatched request.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Finished,
+    Unresolved,
+    NotRun,
+    Pending,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fate = prop::sample::select(vec![
+        Fate::Finished,
+        Fate::Unresolved,
+        Fate::NotRun,
+        Fate::Pending,
+    ]);
+    prop_oneof![
+        6 => (0_u64..40, fate).prop_map(|(request, fate)| Step::Send { request, fate }),
+        1 => (0_u64..4_000, any::<bool>())
+            .prop_map(|(clock_ms, lost)| Step::Succeed { clock_ms, lost }),
+        2 => (0_u64..8_000).prop_map(|ms| Step::Wait { ms }),
+        1 => (0_u64..6 * MINUTE).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    /// Identifiers are sent again and again over successions, losses of memory, expiry and clocks
+    /// that differ: none runs twice.
+    #[test]
+    fn no_identifier_runs_twice(steps in prop::collection::vec(step(), 1..80)) {
+        let mut ledger = Ledger::new(8);
+        let mut ran = BTreeSet::new();
+        let mut ids = BTreeMap::new();
+        let mut now = START;
+        let mut clock_ms = 0;
+        for step in steps {
+            match step {
+                Step::Send { request, fate } => {
+                    let caller_now = now + request * 100;
+                    let id = *ids.entry(request).or_insert_with(|| id(caller_now, request));
+                    let leader_now = now + clock_ms;
+                    if ledger.check(leader_now, id, request) != Verdict::Fresh {
+                        continue;
+                    }
+                    ledger.apply(&Entry::Dispatched { id, fingerprint: request, at: leader_now });
+                    match fate {
+                        Fate::NotRun => ledger.apply(&Entry::NotRun { id }),
+                        Fate::Finished => ledger.apply(&Entry::Finished { id, status: 200 }),
+                        Fate::Unresolved => ledger.apply(&Entry::Unresolved { id }),
+                        Fate::Pending => {}
+                    }
+                    prop_assert!(matches!(fate, Fate::NotRun) || ran.insert(id));
+                    prop_assert!(ledger.len() <= 8);
+                }
+                Step::Succeed { clock_ms: clock, lost } => {
+                    clock_ms = clock;
+                    if lost {
+                        ledger = Ledger::new(8);
+                        ledger.apply(&Entry::Horizon { at: now + clock_ms });
+                    }
+                    ledger.apply(&Entry::Reign);
+                }
+                Step::Wait { ms } => {
+                    now += ms;
+                    ledger.apply(&Entry::Expire { before: Ledger::expiry(now + clock_ms) });
+                }
+            }
+        }
+    }
+
+    /// A replica that reads the leader's snapshot judges as the leader does.
+    #[test]
+    fn snapshot_keeps_every_verdict(
+        requests in prop::collection::vec((0_u64..60_000, any::<u32>(), 100_u16..600), 0..50),
+        horizon in START - 1_000..START + 1_000,
+    ) {
+        let mut ledger = Ledger::default();
+        let ids: Vec<u128> =
+            requests.iter().map(|&(at, tail, _)| id(START + at, u64::from(tail))).collect();
+        for (&id, &(at, _, status)) in ids.iter().zip(&requests) {
+            ledger.apply(&Entry::Dispatched { id, fingerprint: u64::MAX - at, at });
+            match at % 3 {
+                0 => ledger.apply(&Entry::Finished { id, status }),
+                1 => ledger.apply(&Entry::Unresolved { id }),
+                _ => {}
+            }
+        }
+        ledger.apply(&Entry::Horizon { at: horizon - millis(CLOCK_SKEW) });
+        let text = serde_json::to_string(&ledger).unwrap();
+        let replica: Ledger = serde_json::from_str(&text).unwrap();
+        prop_assert_eq!(replica, ledger);
+    }
+}
