Repeat suspects and ask less often to yield

Cause: a suspect was reported once, so a caller whose proposal failed had to poll, and a first standby that is cut off asked 20 times a second. Ruled out: a timer in the caller. Change: suspects are repeated each second; requests to yield come every 100 ms and are answered when the promise ends. Conclusion: a caller may act on outputs alone.

--- a/crates/lease/src/follower.rs
+++ b/crates/lease/src/follower.rs
@@ -36,8 +36,8 @@
     /// When the standby last answered.
     pub heard: Instant,
     pub standing: Standing,
-    /// Whether the standby has been reported as suspect since it last answered.
-    pub suspect: bool,
+    /// When the standby may be reported as suspect again.
+    pub report_at: Instant,
 }
 
 impl Follower {
@@ -50,14 +50,13 @@
             renewed: None,
             heard: now,
             standing: Standing::Follows,
-            suspect: false,
+            report_at: Instant::ZERO,
         }
     }
 
     /// Notes an answer.
     pub fn hear(&mut self, now: Instant) {
         self.heard = now;
-        self.suspect = false;
         if self.standing == Standing::Refused {
             self.standing = Standing::Follows;
         }
--- a/crates/lease/src/member.rs
+++ b/crates/lease/src/member.rs
@@ -342,7 +342,7 @@
             return;
         }
         if let Duty::Lead(reign) = &mut self.duty {
-            reign.gone(peer, out);
+            reign.hasten();
         }
         self.tick(now, out);
     }
--- a/crates/lease/src/output.rs
+++ b/crates/lease/src/output.rs
@@ -48,7 +48,8 @@
         /// Number of entries held.
         index: u64,
     },
-    /// A standby is silent or proven gone; [`crate::Member::propose`] may replace it.
+    /// A standby is silent, has left the reign or is proven gone; [`crate::Member::propose`] may
+    /// replace it. Repeated while it holds, also before the reign has begun.
     Suspect {
         /// The standby.
         peer: Peer,
--- a/crates/lease/src/reign.rs
+++ b/crates/lease/src/reign.rs
@@ -16,7 +16,7 @@
 use crate::renewal::Renewals;
 use crate::standby::Succession;
 use crate::state::{Held, State};
-use crate::timing::{RENEW_EVERY, SEAL_TIMEOUT, VACANT_EVERY};
+use crate::timing::{RENEW_EVERY, REPORT_EVERY, SEAL_TIMEOUT};
 
 /// How far a reign has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -214,7 +214,7 @@
             }
             Message::Refused { .. } => {
                 follower.standing = Standing::Refused;
-                suspect(follower, out);
+                report(now, follower, out);
             }
             _ => return,
         }
@@ -298,13 +298,14 @@
         self.renew(now, out);
         self.seal(now, out);
         for follower in &mut self.followers {
-            if follower.is_silent(now) {
-                suspect(follower, out);
+            let refused = follower.standing == Standing::Refused;
+            if refused || follower.is_silent(now) || context.is_gone(&follower.peer) {
+                report(now, follower, out);
             }
         }
         let vacant = self.is_stranded(context) && self.proposal.is_none();
         if vacant && now >= self.vacant_at {
-            self.vacant_at = now + VACANT_EVERY;
+            self.vacant_at = now + REPORT_EVERY;
             out.push(Output::Vacant {
                 epoch: context.epoch + 1,
             });
@@ -414,17 +415,10 @@
         self.renew(now, out);
     }
 
-    /// Takes note that a standby is proven gone.
-    pub fn gone(&mut self, peer: &Peer, out: &mut Vec<Output<S>>) {
-        if let Some(follower) = self
-            .followers
-            .iter_mut()
-            .find(|follower| follower.peer == *peer)
-        {
-            suspect(follower, out);
-        }
-        self.vacant_at = Instant::ZERO;
+    /// Makes the next tick due and lets it report at once.
+    pub fn hasten(&mut self) {
         self.renew_at = Instant::ZERO;
+        self.vacant_at = Instant::ZERO;
     }
 
     /// Starts the change to a new trio.
@@ -518,10 +512,10 @@
     }
 }
 
-/// Reports a standby once.
-fn suspect<S: State>(follower: &mut Follower, out: &mut Vec<Output<S>>) {
-    if !follower.suspect {
-        follower.suspect = true;
+/// Reports a suspect, unless that was done a short time ago.
+fn report<S: State>(now: Instant, follower: &mut Follower, out: &mut Vec<Output<S>>) {
+    if now >= follower.report_at {
+        follower.report_at = now + REPORT_EVERY;
         out.push(Output::Suspect {
             peer: follower.peer.clone(),
         });
--- a/crates/lease/src/standby.rs
+++ b/crates/lease/src/standby.rs
@@ -11,7 +11,7 @@
 use crate::proposal::Proposal;
 use crate::renewal::Renewals;
 use crate::state::{Held, Position, State};
-use crate::timing::{ASK_EVERY, PROMISE, RENEW_EVERY, VACANT_EVERY};
+use crate::timing::{ASK_EVERY, ASK_KEPT, PROMISE, RENEW_EVERY, REPORT_EVERY};
 
 /// Promise not to take part in a succession.
 #[derive(Clone, Copy, Debug)]
@@ -357,7 +357,7 @@
             return;
         };
         if let Some(request) = asked.take()
-            && now < request.at + ASK_EVERY + ASK_EVERY
+            && now < request.at + ASK_KEPT
         {
             self.on_yield(now, context, held, request, out);
         }
@@ -465,7 +465,7 @@
         }
         let vacant = matches!(self.right(now, context, held), Right::Write { .. });
         if vacant && self.claim.is_none() && now >= self.vacant_at {
-            self.vacant_at = now + VACANT_EVERY;
+            self.vacant_at = now + REPORT_EVERY;
             out.push(Output::Vacant {
                 epoch: context.epoch + 1,
             });
--- a/crates/lease/src/timing.rs
+++ b/crates/lease/src/timing.rs
@@ -18,7 +18,7 @@
 pub const SILENCE: Duration = Duration::from_secs(2);
 
 /// Time between two requests of the first standby that the second yield.
-pub const ASK_EVERY: Duration = Duration::from_millis(50);
+pub const ASK_EVERY: Duration = Duration::from_millis(100);
 
 /// Time after which unacknowledged entries are sent again.
 pub const RESEND_ENTRIES: Duration = RENEW_EVERY;
@@ -29,5 +29,8 @@
 /// Time after which a proposal is dropped when no standby has sealed.
 pub const SEAL_TIMEOUT: Duration = SILENCE;
 
-/// Time between two reports that the shard can be taken over through the store.
-pub const VACANT_EVERY: Duration = Duration::from_secs(1);
+/// Time for which a request to yield that came too early is remembered.
+pub const ASK_KEPT: Duration = Duration::from_millis(400);
+
+/// Time between two reports of a vacant shard or of the same suspect.
+pub const REPORT_EVERY: Duration = Duration::from_secs(1);
