--- a/crates/node/src/node/authority.rs
+++ b/crates/node/src/node/authority.rs
@@ -16,6 +16,9 @@
 use crate::slot::Asks;
 use crate::state::{Entry, State};
 
+/// First reign over a shard.
+const FIRST: Fence = Fence { epoch: 1, succession: 0 };
+
 impl Node {
     /// Carries out what the member of a shard asks for, and what follows from that.
     pub(super) fn carry_out(
@@ -81,7 +84,9 @@
         out.push(Output::Event(draft));
         let mut asks = Asks::new();
         if let Some(slot) = self.slots.get_mut(id) {
-            if let (false, Some(member)) = (complete, &mut slot.member) {
+            // A new shard has no memory to lose.
+            let lost = !complete && fence > FIRST;
+            if let (true, Some(member)) = (lost, &mut slot.member) {
                 let horizon = ledger::Entry::Horizon { at: now.unix_ms };
                 member.append(now.at, Entry::Ledger(horizon), &mut asks);
             }
@@ -119,7 +124,7 @@
             fence,
             config: &self.config,
             config_version: self.config_version,
-            succeeds: fence > Fence::new(1, 0),
+            succeeds: fence > FIRST,
             no_regrant_wait: self.settings.no_regrant_wait,
             resend_after_first_byte: self.settings.resend_after_first_byte,
         };
