--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Operators change one object, the configuration, and ask the hosts what they do. The work is
 //! kept apart from its command line: [`args`] turns arguments into a checked [`command`],
-//! [`run`] does it through the traits [`tarragon_store::api::Api`] and [`host::Api`], and [`cli`] joins the
-//! two with a terminal.
+//! [`run`] does it through the traits [`tarragon_store::api::Api`] and [`host::Api`], and [`cli`]
+//! joins the two with a terminal.
 
 pub mod args;
 pub mod change;
