--- a/crates/lease/src/member.rs
+++ b/crates/lease/src/member.rs
@@ -1,5 +1,7 @@
 //! A process's part in the authority over one shard.
 
+mod change;
+
 use smallvec::SmallVec;
 use tarragon_model::fence::Fence;
 use tarragon_model::host::Peer;
@@ -11,7 +13,7 @@
 use crate::flaw::Flaw;
 use crate::message::Message;
 use crate::output::{Output, Reason};
-use crate::proposal::{self, Error, Fate, Proposal, Stage};
+use crate::proposal::Proposal;
 use crate::reign::Reign;
 use crate::standby::{Right, Standby};
 use crate::state::{Held, State};
@@ -41,6 +43,62 @@
 ///
 /// A process must not hold two members of one shard, nor drop one and make another for the same
 /// epoch: promises and seals live here. Later epochs are taken up by [`Member::adopt`].
+///
+/// ```
+/// use serde::{Deserialize, Serialize};
+/// use tarragon_lease::{Member, Output, State};
+/// use tarragon_model::fence::Fence;
+/// use tarragon_model::host::{Id, Peer};
+/// use tarragon_model::record::{Record, Trio};
+/// use tarragon_model::shard;
+/// use tarragon_model::time::Instant;
+///
+/// #[derive(Clone, Debug, Default, Serialize, Deserialize)]
+/// struct Total(u64);
+///
+/// impl State for Total {
+///     type Entry = u64;
+///
+///     fn apply(&mut self, entry: &u64) {
+///         self.0 += entry;
+///     }
+/// }
+///
+/// let peer = |host: &str| Peer::new(Id::new(host), 1);
+/// let trio = Trio { leader: peer("h1"), first: peer("h2"), second: peer("h3") };
+/// let record = Record {
+///     epoch: 1,
+///     fence: Fence::new(1, 0),
+///     index: 0,
+///     token: String::new(),
+///     trio: trio.clone(),
+///     owners: Vec::new(),
+///     overrides: Vec::new(),
+/// };
+/// let shard = shard::Id::new("balance".into(), 0);
+/// let now = Instant::from_millis(1);
+/// let mut leader = Member::<Total>::new(peer("h1"), shard.clone(), &record, now, None);
+/// let mut first = Member::<Total>::new(peer("h2"), shard, &record, now, None);
+///
+/// // The leader sends its snapshot and asks to renew its lease; the standby agrees.
+/// let mut out = Vec::new();
+/// leader.tick(now, &mut out);
+/// let mut answers = Vec::new();
+/// for output in out.drain(..) {
+///     if let Output::Send { to, message } = output
+///         && to == trio.first
+///     {
+///         first.handle(now, &trio.leader, message, &mut answers);
+///     }
+/// }
+/// for output in answers {
+///     if let Output::Send { message, .. } = output {
+///         leader.handle(now, &trio.first, message, &mut out);
+///     }
+/// }
+/// assert!(leader.may_act(now));
+/// assert!(!leader.may_act(now + tarragon_lease::timing::LEASE));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Member<S: State> {
     shard: shard::Id,
@@ -209,6 +267,7 @@
         }
     }
 
+    /// Returns the proposal that waits for its seal or for its fate.
     fn proposal(&self) -> Option<&Proposal> {
         match &self.duty {
             Duty::Lead(reign) => reign.proposal.as_ref(),
@@ -311,7 +370,8 @@
     /// Applies an entry and replicates it, if this process leads an ongoing reign.
     ///
     /// Returns the number of the entry. It may be acted on after [`Output::Committed`] with that
-    /// number or a larger one, also of a later reign of this process.
+    /// number or a larger one, as long as [`Member::role`] has been [`Role::Leader`] without a
+    /// break: a change of epoch under the same leader keeps the numbers.
     pub fn append(
         &mut self,
         now: Instant,
@@ -325,109 +385,4 @@
             _ => None,
         }
     }
-
-    /// Stops acting for good, in this epoch and in later ones, and hands over to the standbys.
-    pub fn resign(&mut self, now: Instant, out: &mut Vec<Output<S>>) {
-        self.leaving = true;
-        self.end(Reason::Resigned, out);
-        if let Duty::Lead(reign) = &mut self.duty {
-            reign.resign(now, &self.held, out);
-        }
-    }
-
-    /// Takes note of the proof that `peer` is gone: a later incarnation has spoken or an operator
-    /// declared it lost.
-    pub fn gone(&mut self, now: Instant, peer: &Peer, out: &mut Vec<Output<S>>) {
-        if !self.context.note_gone(now, peer) {
-            return;
-        }
-        if let Duty::Lead(reign) = &mut self.duty {
-            reign.hasten();
-        }
-        self.tick(now, out);
-    }
-
-    /// Proposes a new trio led by this process: to replace a standby, or to take the shard over.
-    ///
-    /// A leader has a standby seal first; [`Output::Write`] follows at once or later, unless the
-    /// proposal is dropped after [`crate::timing::SEAL_TIMEOUT`].
-    ///
-    /// # Errors
-    ///
-    /// See [`Error`]; nothing has changed then.
-    pub fn propose(
-        &mut self,
-        now: Instant,
-        trio: Trio,
-        out: &mut Vec<Output<S>>,
-    ) -> Result<(), Error> {
-        proposal::check(&self.context.me, &trio)?;
-        let peer = self.context.me.clone();
-        match &mut self.duty {
-            Duty::Lead(reign) => reign.propose(now, &self.context, &self.held, trio, out),
-            Duty::Stand(standby) if standby.claim.is_some() => Err(Error::Pending { peer }),
-            Duty::Stand(standby) => {
-                let Right::Write { complete } = standby.right(now, &self.context, &self.held)
-                else {
-                    return Err(Error::NotEntitled { peer });
-                };
-                let stage = Stage::Writing { through: None };
-                standby.claim = Some(Proposal {
-                    trio: trio.clone(),
-                    complete,
-                    stage,
-                });
-                out.push(Output::Write {
-                    epoch: self.context.epoch + 1,
-                    trio,
-                });
-                Ok(())
-            }
-            Duty::Outside => Err(Error::NotEntitled { peer }),
-        }
-    }
-
-    /// Takes note of the fate of a write.
-    pub fn written(&mut self, now: Instant, fate: Fate<'_>, out: &mut Vec<Output<S>>) {
-        let (Fate::Won(record) | Fate::Lost(record)) = fate else {
-            return;
-        };
-        if self.adopt(now, record, out) || record.epoch < self.context.epoch {
-            return;
-        }
-        match &mut self.duty {
-            Duty::Lead(reign) => reign.proposal = None,
-            Duty::Stand(standby) => standby.claim = None,
-            Duty::Outside => {}
-        }
-    }
-
-    /// Goes on to a later epoch in place, keeping the state. Records of other epochs are ignored.
-    ///
-    /// Returns whether the record was taken up.
-    pub fn adopt(&mut self, now: Instant, record: &Record, out: &mut Vec<Output<S>>) -> bool {
-        if record.epoch <= self.context.epoch {
-            return false;
-        }
-        self.end(Reason::Superseded, out);
-        let next = record.epoch == self.context.epoch + 1;
-        let own = self
-            .proposal()
-            .filter(|proposal| next && proposal.trio == record.trio);
-        let complete = own.is_some_and(|proposal| proposal.complete);
-        let lease = match &self.duty {
-            Duty::Lead(reign) if own.is_some() => reign.lease(),
-            _ => None,
-        };
-        self.context.adopt(record);
-        self.enter(now, complete);
-        if let Duty::Lead(reign) = &mut self.duty {
-            if let Some(lease) = lease {
-                reign.inherit(&lease);
-            }
-            reign.start(now, &self.context, &self.held, out);
-        }
-        self.tick(now, out);
-        true
-    }
 }
--- a/crates/lease/src/reign.rs
+++ b/crates/lease/src/reign.rs
@@ -1,9 +1,10 @@
 //! The side of a leader: renewals, replication and proposals within one reign.
 
+mod change;
+
 use smallvec::SmallVec;
 use tarragon_model::fence::Fence;
 use tarragon_model::host::Peer;
-use tarragon_model::record::Trio;
 use tarragon_model::time::Instant;
 
 use crate::context::Context;
@@ -12,11 +13,11 @@
 use crate::log::Log;
 use crate::message::Message;
 use crate::output::Output;
-use crate::proposal::{Error, Proposal, Stage};
+use crate::proposal::{Proposal, Stage};
 use crate::renewal::Renewals;
 use crate::standby::Succession;
 use crate::state::{Held, State};
-use crate::timing::{RENEW_EVERY, REPORT_EVERY, SEAL_TIMEOUT};
+use crate::timing::{RENEW_EVERY, REPORT_EVERY};
 
 /// How far a reign has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,14 +30,6 @@
     Resigned,
 }
 
-/// Lease that a standby has renewed.
-#[derive(Clone, Debug)]
-pub(crate) struct Lease {
-    peer: Peer,
-    /// When the renewal that was answered was sent.
-    renewed: Instant,
-}
-
 /// A reign as its leader runs it.
 #[derive(Clone, Debug)]
 pub(crate) struct Reign<S: State> {
@@ -64,44 +57,6 @@
         reign
     }
 
-    /// Takes over the lease of the same leader's reign in the epoch before.
-    ///
-    /// The standby that renewed it belongs to the new trio and keeps its promise there, and it
-    /// holds all that was committed.
-    pub fn inherit(&mut self, lease: &Lease) {
-        if let Some(follower) = self
-            .followers
-            .iter_mut()
-            .find(|other| other.peer == lease.peer)
-        {
-            follower.renewed = Some(lease.renewed);
-            self.shared = true;
-        }
-    }
-
-    /// Returns the lease that the next epoch's reign may inherit.
-    pub fn lease(&self) -> Option<Lease> {
-        if !self.is_acting() {
-            return None;
-        }
-        let Some(Proposal {
-            stage: Stage::Writing { through },
-            ..
-        }) = &self.proposal
-        else {
-            return None;
-        };
-        let through = through.as_ref()?;
-        let follower = self
-            .followers
-            .iter()
-            .find(|follower| follower.peer == *through)?;
-        Some(Lease {
-            peer: through.clone(),
-            renewed: follower.renewed?,
-        })
-    }
-
     /// Begins the reign of the first standby.
     pub fn of_first(now: Instant, context: &Context, index: u64, succession: Succession) -> Self {
         let mut reign = Self::new(now, context.fence(1), &[&context.trio.second], index);
@@ -256,32 +211,6 @@
         self.log.trim(least.unwrap_or(0));
     }
 
-    fn write_when_sealed(&mut self, context: &Context, out: &mut Vec<Output<S>>) {
-        let Some(Proposal { trio, stage, .. }) = &mut self.proposal else {
-            return;
-        };
-        let Stage::Sealing { through, .. } = stage else {
-            return;
-        };
-        let Some(follower) = self
-            .followers
-            .iter()
-            .find(|follower| follower.peer == *through)
-        else {
-            return;
-        };
-        let holds_all = follower.acked.is_some_and(|index| index >= self.committed);
-        if follower.standing == Standing::Sealed && holds_all {
-            *stage = Stage::Writing {
-                through: Some(through.clone()),
-            };
-            out.push(Output::Write {
-                epoch: context.epoch + 1,
-                trio: trio.clone(),
-            });
-        }
-    }
-
     /// Renews, sends again and reports suspects, each when due.
     pub fn tick(
         &mut self,
@@ -358,33 +287,6 @@
         }
     }
 
-    /// Asks for the seal that a proposal needs, or drops the proposal.
-    fn seal(&mut self, now: Instant, out: &mut Vec<Output<S>>) {
-        let Some(Proposal {
-            stage: Stage::Sealing { through, until },
-            ..
-        }) = &self.proposal
-        else {
-            return;
-        };
-        let refused = self
-            .followers
-            .iter()
-            .any(|follower| follower.peer == *through && follower.standing == Standing::Refused);
-        if refused || now >= *until {
-            self.proposal = None;
-            return;
-        }
-        let message = Message::Seal {
-            fence: self.fence,
-            seq: self.renewals.next(now),
-        };
-        out.push(Output::Send {
-            to: through.clone(),
-            message,
-        });
-    }
-
     /// Appends an entry that the caller has decided on and returns its number.
     pub fn append(
         &mut self,
@@ -420,96 +322,6 @@
         self.renew_at = Instant::ZERO;
         self.vacant_at = Instant::ZERO;
     }
-
-    /// Starts the change to a new trio.
-    pub fn propose(
-        &mut self,
-        now: Instant,
-        context: &Context,
-        held: &Held<S>,
-        trio: Trio,
-        out: &mut Vec<Output<S>>,
-    ) -> Result<(), Error> {
-        let peer = context.me.clone();
-        if self.phase == Phase::Resigned {
-            return Err(Error::NotEntitled { peer });
-        }
-        if matches!(
-            self.proposal,
-            Some(Proposal {
-                stage: Stage::Writing { .. },
-                ..
-            })
-        ) {
-            return Err(Error::Pending { peer });
-        }
-        let complete = held.complete && !(self.fence.succession == 0 && self.is_stranded(context));
-        let Some(stage) = self.stage_for(now, context, &trio) else {
-            return Err(Error::NoStandby { peer });
-        };
-        if let Stage::Writing { .. } = stage {
-            out.push(Output::Write {
-                epoch: context.epoch + 1,
-                trio: trio.clone(),
-            });
-        }
-        self.proposal = Some(Proposal {
-            trio,
-            complete,
-            stage,
-        });
-        self.seal(now, out);
-        self.write_when_sealed(context, out);
-        Ok(())
-    }
-
-    /// Chooses how a proposal of `trio` has to begin.
-    fn stage_for(&self, now: Instant, context: &Context, trio: &Trio) -> Option<Stage> {
-        let succeeded = self.fence.succession > 0;
-        let live = self.followers.iter().filter(|follower| {
-            trio.contains(&follower.peer)
-                && !context.is_gone(&follower.peer)
-                && (succeeded || follower.standing != Standing::Refused)
-        });
-        let best =
-            live.max_by_key(|follower| (follower.standing == Standing::Sealed, follower.heard));
-        if succeeded {
-            return self.stage_after_succession(now, context, best);
-        }
-        if let Some(follower) = best {
-            let through = follower.peer.clone();
-            return Some(Stage::Sealing {
-                through,
-                until: now + SEAL_TIMEOUT,
-            });
-        }
-        let sealed_and_gone = self.followers.iter().any(|follower| {
-            follower.standing == Standing::Sealed && context.is_gone(&follower.peer)
-        });
-        let free = sealed_and_gone || self.is_stranded(context);
-        free.then_some(Stage::Writing { through: None })
-    }
-
-    /// The second standby cannot succeed without the store, so no seal is needed. It must stay in
-    /// the trio while it renews the lease, or else no lease counts until the fate is known.
-    fn stage_after_succession(
-        &self,
-        now: Instant,
-        context: &Context,
-        kept: Option<&Follower>,
-    ) -> Option<Stage> {
-        if let Some(follower) = kept {
-            return Some(Stage::Writing {
-                through: Some(follower.peer.clone()),
-            });
-        }
-        let lost = self.is_stranded(context)
-            || self
-                .followers
-                .iter()
-                .all(|follower| follower.is_silent(now) || follower.standing == Standing::Refused);
-        lost.then_some(Stage::Writing { through: None })
-    }
 }
 
 /// Reports a suspect, unless that was done a short time ago.
--- a/crates/lease/src/standby.rs
+++ b/crates/lease/src/standby.rs
@@ -1,5 +1,8 @@
 //! The side of a standby: promises, seals, yields and the right to take over.
 
+mod handover;
+mod right;
+
 use tarragon_model::fence::Fence;
 use tarragon_model::host::Peer;
 use tarragon_model::time::Instant;
@@ -11,7 +14,10 @@
 use crate::proposal::Proposal;
 use crate::renewal::Renewals;
 use crate::state::{Held, Position, State};
-use crate::timing::{ASK_EVERY, ASK_KEPT, PROMISE, RENEW_EVERY, REPORT_EVERY};
+use crate::timing::{PROMISE, RENEW_EVERY, REPORT_EVERY};
+
+pub(crate) use handover::Succession;
+pub(crate) use right::Right;
 
 /// Promise not to take part in a succession.
 #[derive(Clone, Copy, Debug)]
@@ -83,29 +89,6 @@
     },
 }
 
-/// What a standby may do now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Right {
-    /// Nothing but follow.
-    Follow,
-    /// Succeed within the epoch.
-    Succeed,
-    /// Take over by a write to the store.
-    Write {
-        /// Whether the standby's state misses no committed entry.
-        complete: bool,
-    },
-}
-
-/// What the first standby brings into its own reign.
-#[derive(Clone, Debug)]
-pub(crate) struct Succession {
-    pub renewals: Renewals,
-    pub renewed: Option<Instant>,
-    /// Whether the second standby holds the same state.
-    pub shared: bool,
-}
-
 /// A standby within one epoch.
 #[derive(Clone, Debug)]
 pub(crate) struct Standby {
@@ -293,148 +276,15 @@
             || context.is_gone(followed)
     }
 
-    /// Answers the first standby's request.
-    fn on_yield<S: State>(
-        &mut self,
-        now: Instant,
-        context: &Context,
-        held: &Held<S>,
-        request: Request,
-        out: &mut Vec<Output<S>>,
-    ) {
-        let free = self.is_free(now, context);
-        let Side::Second { follows, asked } = &mut self.side else {
-            return;
-        };
-        if self.claim.is_some() {
-            return;
+    /// Tells the leader once that this process awaits the snapshot.
+    fn greet<S: State>(&mut self, context: &Context, held: &Held<S>, out: &mut Vec<Output<S>>) {
+        let fence = context.fence(0);
+        if !self.greeted && held.reign < fence {
+            let to = context.trio.leader.clone();
+            let message = Message::Missing { fence };
+            out.push(Output::Send { to, message });
         }
-        let to = context.trio.first.clone();
-        if *follows == Follows::Leader {
-            if !free {
-                *asked = Some(request);
-                let message = Message::Busy {
-                    fence: context.fence(1),
-                };
-                out.push(Output::Send { to, message });
-                return;
-            }
-            *follows = Follows::Nobody;
-            self.promise = Promise::new(now);
-        }
-        if !self.sealed {
-            self.promise.extend(now);
-        }
-        let message = self.yielded(context, held, request);
-        out.push(Output::Send { to, message });
-    }
-
-    fn yielded<S: State>(&self, context: &Context, held: &Held<S>, request: Request) -> Message<S> {
-        let ahead = held.position() > request.held;
-        let skip = ahead && context.flaw == Some(Flaw::SkipYieldState);
-        Message::Yielded {
-            fence: context.fence(1),
-            seq: request.seq,
-            sealed: self.sealed,
-            held: if skip { request.held } else { held.position() },
-            state: (ahead && !skip).then(|| held.clone()),
-        }
-    }
-
-    /// Answers a request that came too early, as soon as the promise is over.
-    fn answer_late<S: State>(
-        &mut self,
-        now: Instant,
-        context: &Context,
-        held: &Held<S>,
-        out: &mut Vec<Output<S>>,
-    ) {
-        let Side::Second {
-            follows: Follows::Leader,
-            asked,
-        } = &mut self.side
-        else {
-            return;
-        };
-        if let Some(request) = asked.take()
-            && now < request.at + ASK_KEPT
-        {
-            self.on_yield(now, context, held, request, out);
-        }
-    }
-
-    /// Takes in the second standby's answer.
-    fn on_yielded<S: State>(
-        &mut self,
-        seq: u64,
-        theirs: Answer,
-        held: &mut Held<S>,
-        state: Option<Held<S>>,
-    ) {
-        let Side::First {
-            renewals,
-            answer,
-            renewed,
-            ..
-        } = &mut self.side
-        else {
-            return;
-        };
-        *answer = Some(theirs);
-        *renewed = (*renewed).max(renewals.sent_at(seq));
-        if let Some(state) = state
-            && state.position() > held.position()
-        {
-            *held = state;
-        }
-    }
-
-    /// Tells what the standby may do now.
-    pub fn right<S: State>(&self, now: Instant, context: &Context, held: &Held<S>) -> Right {
-        if !self.is_free(now, context) {
-            return Right::Follow;
-        }
-        match &self.side {
-            Side::First { answer, .. } => self.right_of_first(now, context, held, *answer),
-            Side::Second { follows, .. } => Self::right_of_second(now, context, held, *follows),
-        }
-    }
-
-    fn right_of_first<S: State>(
-        &self,
-        now: Instant,
-        context: &Context,
-        held: &Held<S>,
-        answer: Option<Answer>,
-    ) -> Right {
-        let gone = context.is_gone(&context.trio.second);
-        match answer {
-            Some(answer) if !answer.sealed && !self.sealed && !gone => Right::Succeed,
-            Some(_) => Right::Write {
-                complete: held.complete && held.reign == context.fence(0),
-            },
-            None if context.is_lapsed(now, &context.trio.second) => {
-                Right::Write { complete: false }
-            }
-            None => Right::Follow,
-        }
-    }
-
-    fn right_of_second<S: State>(
-        now: Instant,
-        context: &Context,
-        held: &Held<S>,
-        follows: Follows,
-    ) -> Right {
-        if follows == Follows::First {
-            return Right::Write {
-                complete: held.complete && held.reign == context.fence(1),
-            };
-        }
-        if context.is_lapsed(now, &context.trio.first) {
-            return Right::Write { complete: false };
-        }
-        Right::Follow
+        self.greeted = true;
     }
 
     /// Greets the leader, asks the second standby to yield and reports a vacant shard, each when
@@ -446,16 +296,7 @@
         held: &Held<S>,
         out: &mut Vec<Output<S>>,
     ) {
-        if !self.greeted {
-            self.greeted = true;
-            let message = Message::Missing {
-                fence: context.fence(0),
-            };
-            out.push(Output::Send {
-                to: context.trio.leader.clone(),
-                message,
-            });
-        }
+        self.greet(context, held, out);
         if self.is_free(now, context) {
             self.wake = now + RENEW_EVERY;
             self.answer_late(now, context, held, out);
@@ -471,60 +312,6 @@
             });
         }
     }
-
-    fn ask<S: State>(
-        &mut self,
-        now: Instant,
-        context: &Context,
-        held: &Held<S>,
-        out: &mut Vec<Output<S>>,
-    ) {
-        let Side::First {
-            renewals,
-            ask_at,
-            answer: None,
-            ..
-        } = &mut self.side
-        else {
-            return;
-        };
-        if self.claim.is_some() {
-            return;
-        }
-        if now >= *ask_at {
-            *ask_at = now + ASK_EVERY;
-            let seq = renewals.next(now);
-            let message = Message::Yield {
-                fence: context.fence(1),
-                seq,
-                held: held.position(),
-            };
-            out.push(Output::Send {
-                to: context.trio.second.clone(),
-                message,
-            });
-        }
-        self.wake = self.wake.min(*ask_at);
-    }
-
-    /// Returns what the first standby brings into its reign.
-    pub fn succession<S: State>(&self, held: &Held<S>) -> Option<Succession> {
-        let Side::First {
-            renewals,
-            answer,
-            renewed,
-            ..
-        } = &self.side
-        else {
-            return None;
-        };
-        let shared = answer.is_some_and(|answer| answer.held == held.position());
-        Some(Succession {
-            renewals: renewals.clone(),
-            renewed: *renewed,
-            shared,
-        })
-    }
 }
 
 /// Applies the entries that are new and returns the answer.
--- /dev/null
+++ b/crates/lease/tests/common/caller.rs
@@ -0,0 +1,123 @@
+//! What the caller of a member does with its outputs.
+
+use std::collections::BTreeSet;
+
+use tarragon_lease::Output;
+use tarragon_model::fence::Fence;
+use tarragon_model::host::Peer;
+use tarragon_model::record::Trio;
+
+use super::{Event, Values, World, Write};
+
+impl World {
+    pub(super) fn carry_out(&mut self, host: usize, output: Output<Values>) {
+        match output {
+            Output::Send { to, message } => self.send(host, &to, &message),
+            Output::Write { epoch, trio } => {
+                self.serial += 1;
+                let token = format!("{}/{}", self.processes[host].peer, self.serial);
+                self.processes[host].write = Some(token.clone());
+                let at = self.now + self.store_delay();
+                let write = Write {
+                    epoch,
+                    trio,
+                    token,
+                    attempt: 0,
+                };
+                self.schedule(at, Event::StoreWrite { from: host, write });
+            }
+            Output::Began { fence, complete } => self.on_began(host, fence, complete),
+            Output::Ended { .. } => {}
+            Output::Committed { index } => {
+                let waiting = &mut self.processes[host].waiting;
+                let later = waiting.split_off(&(index + 1));
+                for value in std::mem::replace(waiting, later).into_values() {
+                    self.tally.committed += 1;
+                    self.committed.insert(value);
+                }
+            }
+            Output::Suspect { .. } | Output::Vacant { .. } => {
+                if self.repair {
+                    self.propose(host);
+                }
+            }
+        }
+    }
+
+    fn on_began(&mut self, host: usize, fence: Fence, complete: bool) {
+        let latest = self.began.last().map(|&(_, fence, _)| fence);
+        if latest.is_some_and(|latest| latest >= fence) {
+            self.break_with(&format!("reign {fence} began after {latest:?}"));
+        }
+        self.tally.reigns += 1;
+        self.tally.successions += u64::from(fence.succession > 0);
+        self.began
+            .push((self.now, fence, self.processes[host].peer.clone()));
+        let values = &self.processes[host].member.as_ref().unwrap().state().0;
+        let held: BTreeSet<u64> = values.iter().copied().collect();
+        if complete {
+            let missing: Vec<u64> = self.committed.difference(&held).copied().collect();
+            if !missing.is_empty() {
+                self.break_with(&format!("reign {fence} lacks committed {missing:?}"));
+            }
+        } else {
+            self.tally.incomplete += u64::from(fence.epoch > 1);
+            self.committed.retain(|value| held.contains(value));
+            self.append(host);
+        }
+    }
+
+    pub(super) fn append(&mut self, host: usize) {
+        self.serial += 1;
+        let value = self.serial;
+        let mut number = None;
+        self.act(host, |member, now, out| {
+            number = member.append(now, value, out);
+        });
+        if let Some(number) = number {
+            self.processes[host].waiting.insert(number, value);
+        }
+    }
+
+    /// Proposes a trio that keeps an answering standby and replaces the other at random.
+    pub(super) fn propose(&mut self, host: usize) {
+        let process = &self.processes[host];
+        let Some(member) = &process.member else {
+            return;
+        };
+        let silent = member.silent(process.local(self.now));
+        let old = member.trio().clone();
+        let me = process.peer.clone();
+        let mut others: Vec<Peer> = self
+            .processes
+            .iter()
+            .filter(|other| {
+                other.peer != me
+                    && (other.alive || (!self.foresight && self.rng.next().is_multiple_of(4)))
+            })
+            .map(|other| other.peer.clone())
+            .collect();
+        if others.len() < 2 {
+            return;
+        }
+        let first = self.rng.index(others.len());
+        others.swap(0, first);
+        let kept = |peer: &Peer| old.contains(peer) && !silent.contains(peer);
+        if let Some(at) = others.iter().position(kept) {
+            others.swap(0, at);
+        }
+        let second = 1 + self.rng.index(others.len() - 1);
+        others.swap(1, second);
+        if self.rng.chance(50) {
+            others.swap(0, 1);
+        }
+        let trio = Trio {
+            leader: me,
+            first: others[0].clone(),
+            second: others[1].clone(),
+        };
+        self.act(host, |member, now, out| {
+            let _ = member.propose(now, trio, out);
+        });
+    }
+}
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -2,7 +2,10 @@
 
 #![allow(dead_code)]
 
+mod caller;
+mod fault;
 pub mod rng;
+mod store;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -10,7 +13,6 @@
 use rng::Rng;
 use serde::{Deserialize, Serialize};
 use tarragon_lease::flaw::Flaw;
-use tarragon_lease::proposal::Fate;
 use tarragon_lease::{Member, Message, Output, Role, State};
 use tarragon_model::fence::Fence;
 use tarragon_model::host::{Id, Peer};
@@ -18,6 +20,8 @@
 use tarragon_model::shard;
 use tarragon_model::time::Instant;
 
+pub use fault::Fault;
+
 pub const MS: u64 = 1_000;
 
 /// Values appended, in order.
@@ -64,40 +68,6 @@
     Fault(Fault),
 }
 
-/// What happens to the processes from outside.
-#[derive(Clone, Copy, Debug)]
-pub enum Fault {
-    Kill(usize),
-    /// Starts a new incarnation, which proves to all that the old one is gone.
-    Restart(usize),
-    /// An operator declares the killed process of a host lost.
-    DeclareLost(usize),
-    Freeze {
-        host: usize,
-        micros: u64,
-    },
-    Cut {
-        from: usize,
-        to: usize,
-        micros: u64,
-    },
-    Isolate {
-        host: usize,
-        micros: u64,
-    },
-    StoreDown {
-        micros: u64,
-    },
-    /// Cuts whoever may act off its standbys, but not off other processes.
-    Shun {
-        micros: u64,
-    },
-    KillActor,
-    Resign,
-    Propose,
-    Append,
-}
-
 #[derive(Clone, Debug)]
 struct Write {
     epoch: u64,
@@ -159,6 +129,8 @@
     pub repair: bool,
     /// Whether proposals name no dead process.
     pub foresight: bool,
+    /// Whether messages pass through their serialised form.
+    pub encode: bool,
     pub store_lose_next: u32,
     /// First violation seen.
     pub broken: Option<String>,
@@ -212,6 +184,7 @@
             began: Vec::new(),
             repair: true,
             foresight: false,
+            encode: false,
             store_lose_next: 0,
             broken: None,
             processes,
@@ -372,75 +345,6 @@
         }
     }
 
-    fn carry_out(&mut self, host: usize, output: Output<Values>) {
-        match output {
-            Output::Send { to, message } => self.send(host, &to, &message),
-            Output::Write { epoch, trio } => {
-                self.serial += 1;
-                let token = format!("{}/{}", self.processes[host].peer, self.serial);
-                self.processes[host].write = Some(token.clone());
-                let at = self.now + self.store_delay();
-                let write = Write {
-                    epoch,
-                    trio,
-                    token,
-                    attempt: 0,
-                };
-                self.schedule(at, Event::StoreWrite { from: host, write });
-            }
-            Output::Began { fence, complete } => self.on_began(host, fence, complete),
-            Output::Ended { .. } => {}
-            Output::Committed { index } => {
-                let waiting = &mut self.processes[host].waiting;
-                let later = waiting.split_off(&(index + 1));
-                for value in std::mem::replace(waiting, later).into_values() {
-                    self.tally.committed += 1;
-                    self.committed.insert(value);
-                }
-            }
-            Output::Suspect { .. } | Output::Vacant { .. } => {
-                if self.repair {
-                    self.propose(host);
-                }
-            }
-        }
-    }
-
-    fn on_began(&mut self, host: usize, fence: Fence, complete: bool) {
-        let latest = self.began.last().map(|&(_, fence, _)| fence);
-        if latest.is_some_and(|latest| latest >= fence) {
-            self.break_with(&format!("reign {fence} began after {latest:?}"));
-        }
-        self.tally.reigns += 1;
-        self.tally.successions += u64::from(fence.succession > 0);
-        self.began
-            .push((self.now, fence, self.processes[host].peer.clone()));
-        let values = &self.processes[host].member.as_ref().unwrap().state().0;
-        let held: BTreeSet<u64> = values.iter().copied().collect();
-        if complete {
-            let missing: Vec<u64> = self.committed.difference(&held).copied().collect();
-            if !missing.is_empty() {
-                self.break_with(&format!("reign {fence} lacks committed {missing:?}"));
-            }
-        } else {
-            self.tally.incomplete += u64::from(fence.epoch > 1);
-            self.committed.retain(|value| held.contains(value));
-            self.append(host);
-        }
-    }
-
-    fn append(&mut self, host: usize) {
-        self.serial += 1;
-        let value = self.serial;
-        let mut number = None;
-        self.act(host, |member, now, out| {
-            number = member.append(now, value, out);
-        });
-        if let Some(number) = number {
-            self.processes[host].waiting.insert(number, value);
-        }
-    }
-
     fn send(&mut self, host: usize, to: &Peer, message: &Message<Values>) {
         let Some(to) = self
             .processes
@@ -456,6 +360,11 @@
         if cut || self.rng.chance(self.network.loss_percent) {
             return;
         }
+        let message = if self.encode {
+            serde_json::from_slice(&serde_json::to_vec(message).unwrap()).unwrap()
+        } else {
+            message.clone()
+        };
         let copies = 1 + u32::from(self.rng.chance(self.network.duplicate_percent));
         for _ in 0..copies {
             let at = self.now + self.delay();
@@ -516,203 +425,4 @@
         });
         self.act(to, Member::tick);
     }
-
-    fn read(&mut self, host: usize) {
-        if self.store_down_until > self.now || self.rng.chance(self.network.store_lost_percent) {
-            return;
-        }
-        let at = self.now + self.store_delay();
-        let record = self.record.clone();
-        self.schedule(at, Event::Learn { to: host, record });
-    }
-
-    fn store_write(&mut self, from: usize, write: Write) {
-        let down = self.store_down_until > self.now;
-        let refused = !down && write.attempt == 0 && self.rng.chance(self.network.loss_percent / 2);
-        if !down && !refused && self.record.epoch + 1 == write.epoch {
-            self.record.epoch = write.epoch;
-            self.record.trio = write.trio.clone();
-            self.record.token.clone_from(&write.token);
-        }
-        let lost = self.store_lose_next > 0 || self.rng.chance(self.network.store_lost_percent);
-        self.store_lose_next = self.store_lose_next.saturating_sub(1);
-        let silent = down || lost;
-        let record = (!silent).then(|| self.record.clone());
-        let delay = if silent { 300 * MS } else { self.store_delay() };
-        self.schedule(
-            self.now + delay,
-            Event::Written {
-                to: from,
-                write,
-                record,
-            },
-        );
-    }
-
-    /// Tells the writer the fate of its write; one that may still land is sent again.
-    fn written(&mut self, to: usize, mut write: Write, record: Option<Record>) {
-        if self.processes[to].write.as_ref() != Some(&write.token) {
-            return;
-        }
-        let definite = record
-            .as_ref()
-            .is_some_and(|record| write.attempt == 0 || record.epoch >= write.epoch);
-        if !definite {
-            self.act(to, |member, now, out| {
-                member.written(now, Fate::Unfinished, out);
-            });
-            write.attempt += 1;
-            let at = self.now + self.store_delay();
-            self.schedule(at, Event::StoreWrite { from: to, write });
-            return;
-        }
-        self.processes[to].write = None;
-        let record = record.unwrap();
-        self.act(to, |member, now, out| {
-            let won = record.token == write.token;
-            let fate = if won {
-                Fate::Won(&record)
-            } else {
-                Fate::Lost(&record)
-            };
-            member.written(now, fate, out);
-        });
-    }
-
-    /// Proposes a trio that keeps an answering standby and replaces the other at random.
-    fn propose(&mut self, host: usize) {
-        let process = &self.processes[host];
-        let Some(member) = &process.member else {
-            return;
-        };
-        let silent = member.silent(process.local(self.now));
-        let old = member.trio().clone();
-        let me = process.peer.clone();
-        let mut others: Vec<Peer> = self
-            .processes
-            .iter()
-            .filter(|other| {
-                other.peer != me
-                    && (other.alive || (!self.foresight && self.rng.next().is_multiple_of(4)))
-            })
-            .map(|other| other.peer.clone())
-            .collect();
-        if others.len() < 2 {
-            return;
-        }
-        let first = self.rng.index(others.len());
-        others.swap(0, first);
-        let kept = |peer: &Peer| old.contains(peer) && !silent.contains(peer);
-        if let Some(at) = others.iter().position(kept) {
-            others.swap(0, at);
-        }
-        let second = 1 + self.rng.index(others.len() - 1);
-        others.swap(1, second);
-        if self.rng.chance(50) {
-            others.swap(0, 1);
-        }
-        let trio = Trio {
-            leader: me,
-            first: others[0].clone(),
-            second: others[1].clone(),
-        };
-        self.act(host, |member, now, out| {
-            let _ = member.propose(now, trio, out);
-        });
-    }
-
-    fn inflict(&mut self, fault: Fault) {
-        match fault {
-            Fault::Kill(host) => self.processes[host].alive = false,
-            Fault::Restart(host) => self.restart(host),
-            Fault::DeclareLost(host) => {
-                let process = &self.processes[host];
-                if !process.alive {
-                    let peer = process.peer.clone();
-                    self.spread_gone(&peer);
-                }
-            }
-            Fault::Freeze { host, micros } => {
-                self.processes[host].frozen_until = self.now + micros;
-            }
-            Fault::Cut { from, to, micros } => {
-                self.cuts.insert((from, to), self.now + micros);
-            }
-            Fault::Isolate { host, micros } => {
-                for other in 0..self.processes.len() {
-                    self.cuts.insert((host, other), self.now + micros);
-                    self.cuts.insert((other, host), self.now + micros);
-                }
-            }
-            Fault::StoreDown { micros } => self.store_down_until = self.now + micros,
-            Fault::Shun { micros } => self.shun(micros),
-            Fault::KillActor => {
-                for host in self.actors() {
-                    self.processes[host].alive = false;
-                }
-            }
-            Fault::Resign => {
-                for host in self.unfrozen_actors() {
-                    self.act(host, Member::resign);
-                }
-            }
-            Fault::Propose => {
-                for host in self.unfrozen_actors() {
-                    self.propose(host);
-                }
-            }
-            Fault::Append => {
-                for host in self.unfrozen_actors() {
-                    self.append(host);
-                }
-            }
-        }
-    }
-
-    fn shun(&mut self, micros: u64) {
-        let until = self.now + micros;
-        for host in self.actors() {
-            let trio = self.processes[host].member.as_ref().unwrap().trio().clone();
-            for other in 0..self.processes.len() {
-                if other != host && trio.contains(&self.processes[other].peer) {
-                    self.cuts.insert((host, other), until);
-                    self.cuts.insert((other, host), until);
-                }
-            }
-        }
-    }
-
-    fn unfrozen_actors(&self) -> Vec<usize> {
-        let thawed = |&host: &usize| self.processes[host].frozen_until <= self.now;
-        self.actors().into_iter().filter(thawed).collect()
-    }
-
-    fn restart(&mut self, host: usize) {
-        let rate_ppm = self.rng.range(950_000..1_050_001);
-        let process = &mut self.processes[host];
-        let old = process.peer.clone();
-        process.peer = Peer::new(old.host.clone(), old.incarnation + 1);
-        process.alive = true;
-        process.frozen_until = 0;
-        process.rate_ppm = rate_ppm;
-        process.member = None;
-        process.waiting.clear();
-        process.write = None;
-        process.tick_at = u64::MAX;
-        self.schedule(self.now + MS, Event::StoreRead { from: host });
-        self.spread_gone(&old);
-    }
-
-    fn spread_gone(&mut self, peer: &Peer) {
-        for to in 0..self.processes.len() {
-            let at = self.now + self.delay();
-            self.schedule(
-                at,
-                Event::Gone {
-                    to,
-                    peer: peer.clone(),
-                },
-            );
-        }
-    }
 }
--- /dev/null
+++ b/crates/lease/tests/common/store.rs
@@ -0,0 +1,70 @@
+//! A fake store with conditional updates and lost answers.
+
+use tarragon_lease::proposal::Fate;
+use tarragon_model::record::Record;
+
+use super::{Event, MS, World, Write};
+
+impl World {
+    pub(super) fn read(&mut self, host: usize) {
+        if self.store_down_until > self.now || self.rng.chance(self.network.store_lost_percent) {
+            return;
+        }
+        let at = self.now + self.store_delay();
+        let record = self.record.clone();
+        self.schedule(at, Event::Learn { to: host, record });
+    }
+
+    pub(super) fn store_write(&mut self, from: usize, write: Write) {
+        let down = self.store_down_until > self.now;
+        let refused = !down && write.attempt == 0 && self.rng.chance(self.network.loss_percent / 2);
+        if !down && !refused && self.record.epoch + 1 == write.epoch {
+            self.record.epoch = write.epoch;
+            self.record.trio = write.trio.clone();
+            self.record.token.clone_from(&write.token);
+        }
+        let lost = self.store_lose_next > 0 || self.rng.chance(self.network.store_lost_percent);
+        self.store_lose_next = self.store_lose_next.saturating_sub(1);
+        let silent = down || lost;
+        let record = (!silent).then(|| self.record.clone());
+        let delay = if silent { 300 * MS } else { self.store_delay() };
+        self.schedule(
+            self.now + delay,
+            Event::Written {
+                to: from,
+                write,
+                record,
+            },
+        );
+    }
+
+    /// Tells the writer the fate of its write; one that may still land is sent again.
+    pub(super) fn written(&mut self, to: usize, mut write: Write, record: Option<Record>) {
+        if self.processes[to].write.as_ref() != Some(&write.token) {
+            return;
+        }
+        let definite = record
+            .as_ref()
+            .is_some_and(|record| write.attempt == 0 || record.epoch >= write.epoch);
+        if !definite {
+            self.act(to, |member, now, out| {
+                member.written(now, Fate::Unfinished, out);
+            });
+            write.attempt += 1;
+            let at = self.now + self.store_delay();
+            self.schedule(at, Event::StoreWrite { from: to, write });
+            return;
+        }
+        self.processes[to].write = None;
+        let record = record.unwrap();
+        self.act(to, |member, now, out| {
+            let won = record.token == write.token;
+            let fate = if won {
+                Fate::Won(&record)
+            } else {
+                Fate::Lost(&record)
+            };
+            member.written(now, fate, out);
+        });
+    }
+}
--- a/crates/lease/tests/liveness.rs
+++ b/crates/lease/tests/liveness.rs
@@ -23,6 +23,7 @@
     };
     let mut world = World::new(seed, hosts, network, None);
     world.foresight = true;
+    world.encode = true;
     for at in 1..END / (100 * MS) {
         world.fault(at * 100 * MS, Fault::Append);
     }
