Let either standby take over through the store once the leader is known to be out

Cause: with the leader and one standby lost, the return of the leader's host did not help, and a leader that resigned while its first standby was lost left the shard without a leader. Ruled out: a takeover on silence alone, which proves nothing. Change: when the leader is proven gone or has resigned and no succession followed within the promise, the other standby cannot act either, so each may write; the state counts as incomplete. Conclusion: the return of any one of two lost processes ends the stall.

--- a/crates/lease/src/context.rs
+++ b/crates/lease/src/context.rs
@@ -63,16 +63,20 @@
         true
     }
 
+    /// Returns when the proof that `peer` is gone arrived.
+    pub fn gone_since(&self, peer: &Peer) -> Option<Instant> {
+        let gone = self.gone.iter().find(|gone| gone.peer == *peer)?;
+        Some(gone.since)
+    }
+
     /// Tells whether `peer` is proven gone.
     pub fn is_gone(&self, peer: &Peer) -> bool {
-        self.gone.iter().any(|gone| gone.peer == *peer)
+        self.gone_since(peer).is_some()
     }
 
     /// Tells whether `peer` is proven gone and the leases that it renewed have lapsed.
     pub fn is_lapsed(&self, now: Instant, peer: &Peer) -> bool {
-        let Some(gone) = self.gone.iter().find(|gone| gone.peer == *peer) else {
-            return false;
-        };
-        self.is_gone(&self.trio.leader) || now >= gone.since + PROMISE
+        self.gone_since(peer)
+            .is_some_and(|since| self.is_gone(&self.trio.leader) || now >= since + PROMISE)
     }
 }
--- a/crates/lease/src/standby.rs
+++ b/crates/lease/src/standby.rs
@@ -95,6 +95,8 @@
     side: Side,
     promise: Promise,
     sealed: bool,
+    /// When the leader that the record names told that it has resigned.
+    resigned_at: Option<Instant>,
     /// Whether the leader has been told that this process awaits the snapshot.
     greeted: bool,
     vacant_at: Instant,
@@ -130,6 +132,7 @@
             side,
             promise: Promise::new(now),
             sealed: false,
+            resigned_at: None,
             greeted: false,
             vacant_at: now,
             wake: now,
@@ -237,6 +240,9 @@
             }
             Message::Resign { .. } => {
                 self.promise.void = true;
+                if fence.succession == 0 {
+                    self.resigned_at.get_or_insert(now);
+                }
                 None
             }
             _ => None,
--- a/crates/lease/src/standby/right.rs
+++ b/crates/lease/src/standby/right.rs
@@ -5,6 +5,7 @@
 use super::{Answer, Follows, Side, Standby};
 use crate::context::Context;
 use crate::state::{Held, State};
+use crate::timing::PROMISE;
 
 /// What a standby may do now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +29,7 @@
         }
         match &self.side {
             Side::First { answer, .. } => self.right_of_first(now, context, held, *answer),
-            Side::Second { follows, .. } => Self::right_of_second(now, context, held, *follows),
+            Side::Second { follows, .. } => self.right_of_second(now, context, held, *follows),
         }
     }
 
@@ -48,11 +49,23 @@
             None if context.is_lapsed(now, &context.trio.second) => {
                 Right::Write { complete: false }
             }
+            None if self.is_stalled(now, context) => Right::Write { complete: false },
             None => Right::Follow,
         }
     }
 
+    /// Tells whether the leader that the record names acts no more and no succession has followed.
+    ///
+    /// The other standby cannot act either then: the first has no answer from the second, or the
+    /// second has renewed no lease of the first since its promise ran out.
+    fn is_stalled(&self, now: Instant, context: &Context) -> bool {
+        let gone = context.gone_since(&context.trio.leader);
+        let since = gone.into_iter().chain(self.resigned_at).min();
+        since.is_some_and(|since| now >= since + PROMISE)
+    }
+
     fn right_of_second<S: State>(
+        &self,
         now: Instant,
         context: &Context,
         held: &Held<S>,
@@ -63,7 +76,7 @@
                 complete: held.complete && held.reign == context.fence(1),
             };
         }
-        if context.is_lapsed(now, &context.trio.first) {
+        if context.is_lapsed(now, &context.trio.first) || self.is_stalled(now, context) {
             return Right::Write { complete: false };
         }
         Right::Follow
--- a/crates/lease/tests/liveness.rs
+++ b/crates/lease/tests/liveness.rs
@@ -138,6 +138,35 @@
         assert!(gap < 3_500 * MS, "gap {gap} us");
     }
 
+    leader_replaced_while_second_is_lost_then_first_acts_through_the_store(world, 5) {
+        world.fault(STRIKE, Fault::Kill(0));
+        world.fault(STRIKE, Fault::Kill(2));
+        world.fault(STRIKE + SECOND, Fault::Restart(0));
+        let gap = world.longest_gap(END);
+        assert_eq!(world.actors(), [1]);
+        assert!(gap < 3_500 * MS, "gap {gap} us");
+    }
+
+    leader_replaced_while_first_is_lost_then_second_acts_through_the_store(world, 5) {
+        world.fault(STRIKE, Fault::Kill(0));
+        world.fault(STRIKE, Fault::Kill(1));
+        world.fault(STRIKE + SECOND, Fault::Restart(0));
+        let gap = world.longest_gap(END);
+        assert_eq!(world.actors(), [2]);
+        assert!(gap < 3_500 * MS, "gap {gap} us");
+    }
+
+    resigned_while_first_is_lost_then_second_acts_through_the_store(world, 5) {
+        world.repair = false;
+        world.fault(STRIKE, Fault::Kill(1));
+        world.run_until(STRIKE + MS);
+        world.repair = true;
+        world.fault(STRIKE + 100 * MS, Fault::Resign);
+        let gap = world.longest_gap(END);
+        assert_eq!(world.actors(), [2]);
+        assert!(gap < 1_500 * MS, "gap {gap} us");
+    }
+
     both_standbys_killed_then_leader_acts_through_the_store(world, 5) {
         world.fault(STRIKE, Fault::Kill(1));
         world.fault(STRIKE, Fault::Kill(2));
