Preempt for short work that waits, probe by failure rate, test placement

Ruled out: a larger reserve alone, since nobody knows a straggler before it runs.

A running request counts as long from 4 times the typical work (was 8); the reserve follows the load of short work up to half the slots; a class 8 times longer than the shortest counts as long; probing starts when 70 % of the latest requests failed; the budget keeps two seconds of successes.

Tests for placement, preemption and the budget are new and pass.

--- a/crates/policy/examples/policies/drive.rs
+++ b/crates/policy/examples/policies/drive.rs
@@ -30,6 +30,8 @@
     Speed(u16, f64),
     /// Part of the requests that the server sheds.
     Shed(u16, f64),
+    /// Part of the requests that fail after their work was done.
+    Fail(u16, f64),
 }
 
 /// Limit on retries.
@@ -91,7 +93,6 @@
     pub moves: Vec<(Instant, Move)>,
     /// Part of the slot time that was idle while work waited for it, once the load ran.
     pub idle: f64,
-    pub attempts: u64,
     /// Runs that were given up for waiting work.
     pub preempted: u64,
     pub violations: u64,
@@ -138,6 +139,7 @@
     speeds: Vec<f64>,
     states: Vec<State>,
     shed: Vec<f64>,
+    fail: Vec<f64>,
     next_arrival: Arrival,
     next_id: u64,
     wake: Option<Instant>,
@@ -220,6 +222,7 @@
             speeds: spec.speeds.clone(),
             states: spec.states.clone(),
             shed: vec![0.0; spec.speeds.len()],
+            fail: vec![0.0; spec.speeds.len()],
             next_arrival,
             next_id: 0,
             wake: None,
@@ -231,7 +234,6 @@
                 done: Vec::new(),
                 moves: Vec::new(),
                 idle: 0.0,
-                attempts: 0,
                 preempted: 0,
                 violations: 0,
                 learned: Vec::new(),
@@ -388,7 +390,6 @@
     }
 
     fn start(&mut self, id: u64, backend: u16) {
-        self.outcome.attempts += 1;
         let call = self.calls.get_mut(&id).expect("a known request");
         let class = &self.spec.load.classes[usize::from(call.arrival.class)];
         let speed = self.speeds[usize::from(backend)];
@@ -422,16 +423,19 @@
         let speed = self.speeds[usize::from(call.backend)];
         let (key, backend, record) = (call.arrival.key, call.backend, call.record);
         let whole = call.arrival.work.div_f64(speed);
+        let fails = self.rng.random::<f64>() < self.fail[usize::from(backend)];
         let ending = if call.shed {
             Ending::Shed
+        } else if fails {
+            Ending::Failed
         } else if time + Duration::from_micros(2) >= whole {
             Ending::Served
         } else {
             Ending::Cancelled
         };
         self.scheduler.complete(self.now, id, ending);
-        if ending == Ending::Shed {
-            self.fail(id);
+        if matches!(ending, Ending::Shed | Ending::Failed) {
+            self.retry(id);
             return;
         }
         self.calls.remove(&id);
@@ -449,7 +453,7 @@
     }
 
     /// Tries a failed attempt again, if the limit on retries lets it.
-    fn fail(&mut self, id: u64) {
+    fn retry(&mut self, id: u64) {
         let call = self.calls.get_mut(&id).expect("a known request");
         call.runs = false;
         let again = match self.spec.retry {
@@ -474,12 +478,13 @@
                     let lost: Vec<u64> = self.scheduler.running_on(backend).collect();
                     for id in lost {
                         self.scheduler.complete(self.now, id, Ending::Failed);
-                        self.fail(id);
+                        self.retry(id);
                     }
                 }
             }
             Change::Speed(backend, speed) => self.speeds[usize::from(backend)] = speed,
             Change::Shed(backend, part) => self.shed[usize::from(backend)] = part,
+            Change::Fail(backend, part) => self.fail[usize::from(backend)] = part,
         }
     }
 
--- a/crates/policy/examples/policies/experiments.rs
+++ b/crates/policy/examples/policies/experiments.rs
@@ -404,72 +404,59 @@
 
 /// Adds stragglers to short work that uses a part of the capacity.
 fn stragglers(seed: u64, part: f64) {
-    let name = format!("stragglers-{part}");
     for keyed in [true, false] {
         let mut calm = spec(seed, vec![class("balance", 1.0, 1, 20, 0.0)], part, 90);
         calm.keyed = keyed;
         let mut used = calm.clone();
         used.load.classes[0].stragglers = 0.02;
         let kind = if keyed { "keyed" } else { "any" };
-        for (policy, calm, spec) in [
-            ("in-use", &calm, &used),
-            ("baseline", &baseline(&calm), &baseline(&used)),
-        ] {
-            let without = Drive::run(calm);
-            let with = Drive::run(spec);
-            let without = measure::quantile(measure::short_times(&without, at(30), at(90)), 0.99);
-            let with = measure::quantile(measure::short_times(&with, at(30), at(90)), 0.99);
-            let policy = format!("{policy}-{kind}");
-            plain(&name, &policy, seed, "p99_without_ms", without);
-            plain(&name, &policy, seed, "p99_with_ms", with);
-            figure(
-                &name,
-                &policy,
-                seed,
-                "p99_ratio",
-                with / without,
-                AtMost(2.0),
-            );
-        }
+        let name = format!("stragglers-{part}-{kind}");
+        compare_short(&name, "in-use", &calm, &used);
+        compare_short(&name, "baseline", &baseline(&calm), &baseline(&used));
     }
 }
 
+/// Compares short work alone with short work among long work.
+fn compare_short(name: &str, policy: &str, calm: &Spec, mixed: &Spec) {
+    let seed = calm.seed;
+    let p99 = |spec: &Spec| {
+        let outcome = Drive::run(spec);
+        let times = measure::short_times(&outcome, 0, at(30), at(90));
+        (measure::quantile(times, 0.99), outcome)
+    };
+    let mut busy = calm.clone();
+    let mean: f64 = mixed
+        .load
+        .classes
+        .iter()
+        .map(|class| class.share * class.mean())
+        .sum();
+    busy.load.rate = mixed.load.rate * mean / calm.load.classes[0].mean();
+    let (alone, _) = p99(calm);
+    let (busy, _) = p99(&busy);
+    let (among, outcome) = p99(mixed);
+    plain(name, policy, seed, "p99_without_ms", alone);
+    plain(name, policy, seed, "p99_without_at_same_use_ms", busy);
+    plain(name, policy, seed, "p99_with_ms", among);
+    figure(name, policy, seed, "p99_ratio", among / alone, AtMost(2.0));
+    plain(name, policy, seed, "p99_ratio_at_same_use", among / busy);
+    plain(name, policy, seed, "preempted", count(outcome.preempted));
+    let part = measure::weight_part(&outcome, &mixed.load.classes, at(30), at(80));
+    plain(name, policy, seed, "weight_in_time_percent", part * 100.0);
+}
+
 /// Adds a class of long work, which nothing but its own durations gives away.
 fn downloads(seed: u64) {
-    let balance = class("balance", 0.9, 1, 20, 0.0);
-    let mut calm = spec(seed, vec![balance], 0.25, 90);
+    let calm = spec(seed, vec![class("balance", 1.0, 1, 20, 0.0)], 0.25, 90);
     let mut used = calm.clone();
-    calm.load.rate *= 0.9;
-    calm.load.classes[0].share = 1.0;
+    used.load.rate /= 0.97;
+    used.load.classes[0].share = 0.97;
     used.load.classes.push(Class {
-        max_slots: 4,
         deadline: Duration::from_secs(10),
-        ..class("download", 0.1, 1, 600, 0.0)
+        ..class("download", 0.03, 1, 600, 0.0)
     });
-    for (policy, calm, spec) in [
-        ("in-use", &calm, &used),
-        ("baseline", &baseline(&calm), &baseline(&used)),
-    ] {
-        let without = measure::short_times(&Drive::run(calm), at(30), at(90));
-        let outcome = Drive::run(spec);
-        let with = measure::class_times(&outcome, 0, at(30), at(90));
-        let (without, with) = (
-            measure::quantile(without, 0.99),
-            measure::quantile(with, 0.99),
-        );
-        figure(
-            "downloads",
-            policy,
-            seed,
-            "p99_ratio",
-            with / without,
-            AtMost(2.0),
-        );
-        plain("downloads", policy, seed, "p99_without_ms", without);
-        plain("downloads", policy, seed, "p99_with_ms", with);
-        let late = measure::quantile(measure::class_times(&outcome, 1, at(30), at(90)), 0.99);
-        plain("downloads", policy, seed, "download_p99_ms", late);
-    }
+    compare_short("downloads", "in-use", &calm, &used);
+    compare_short("downloads", "baseline", &baseline(&calm), &baseline(&used));
 }
 
 /// Choice among servers without owners, at 60 % of the capacity.
@@ -482,7 +469,7 @@
             ..used.clone()
         };
         let outcome = Drive::run(&spec);
-        let times = measure::short_times(&outcome, at(20), at(60));
+        let times = measure::short_times(&outcome, 0, at(20), at(60));
         plain(
             "choice",
             name,
@@ -497,65 +484,74 @@
             "p99_ms",
             measure::quantile(times, 0.99),
         );
-        let had = measure::weight_in_time(&outcome, &spec.load.classes, at(20), at(60));
-        let offered: f64 = measure::arrived(&outcome, at(20), at(60))
-            .map(|record| f64::from(spec.load.classes[usize::from(record.class)].weight))
-            .sum();
-        plain(
-            "choice",
-            name,
-            seed,
-            "weight_in_time_percent",
-            had / offered * 100.0,
-        );
+        let part = measure::weight_part(&outcome, &spec.load.classes, at(20), at(60));
+        plain("choice", name, seed, "weight_in_time_percent", part * 100.0);
     }
 }
 
-/// Two of four servers shed 80 % of what they get for twenty seconds.
+/// Brownouts of twenty seconds: servers shed or fail part of what they get.
 fn retries(seed: u64) {
-    let mut used = spec(seed, mixed(), 0.5, 60);
-    used.keyed = false;
-    used.changes = vec![
-        (at(20), Change::Shed(0, 0.8)),
-        (at(20), Change::Shed(1, 0.8)),
-        (at(40), Change::Shed(0, 0.0)),
-        (at(40), Change::Shed(1, 0.0)),
+    type Make = fn(u16, f64) -> Change;
+    let brownouts: [(&str, Make, u16, f64, f64); 4] = [
+        ("shed-half", Change::Shed, 2, 0.8, 0.5),
+        ("fail-half", Change::Fail, 2, 0.8, 0.5),
+        ("fail-all", Change::Fail, 4, 0.4, 0.5),
+        ("fail-all-busy", Change::Fail, 4, 0.4, 0.8),
     ];
-    let cap = Retry::Cap(3);
-    for keyed in [true, false] {
-        used.keyed = keyed;
-        let kind = if keyed { "keyed" } else { "any" };
-        for (policy, retry) in [
-            ("budget", Retry::Budget(10)),
-            ("per-call", cap),
-            ("none", Retry::Never),
-        ] {
-            let spec = Spec {
-                retry,
-                ..used.clone()
-            };
-            let outcome = Drive::run(&spec);
-            let policy = format!("{policy}-{kind}");
-            let sent = count(outcome.attempts) / length(&outcome.records);
-            figure(
-                "retries",
-                &policy,
-                seed,
-                "sent_over_asked",
-                sent,
-                AtMost(1.1),
-            );
-            let had = measure::weight_in_time(&outcome, &spec.load.classes, at(20), at(40));
-            let offered: f64 = measure::arrived(&outcome, at(20), at(40))
-                .map(|record| f64::from(spec.load.classes[usize::from(record.class)].weight))
-                .sum();
-            plain(
-                "retries",
-                &policy,
-                seed,
-                "weight_in_time_percent",
-                had / offered * 100.0,
-            );
+    for (brownout, change, servers, part, load) in brownouts {
+        for keyed in [true, false] {
+            let mut used = spec(seed, mixed(), load, 60);
+            used.keyed = keyed;
+            for server in 0..servers {
+                used.changes.push((at(20), change(server, part)));
+                used.changes.push((at(40), change(server, 0.0)));
+            }
+            let kind = if keyed { "keyed" } else { "any" };
+            compare_retries(&format!("retries-{brownout}-{kind}"), &used);
+        }
+    }
+}
+
+fn compare_retries(name: &str, used: &Spec) {
+    for (policy, retry) in [
+        ("budget", Retry::Budget(10)),
+        ("per-call", Retry::Cap(3)),
+        ("none", Retry::Never),
+    ] {
+        let spec = Spec {
+            retry,
+            ..used.clone()
+        };
+        let outcome = Drive::run(&spec);
+        let (mut asked, mut sent) = (0, 0);
+        for record in measure::arrived(&outcome, at(20), at(40)) {
+            asked += u64::from(record.attempts > 0);
+            sent += u64::from(record.attempts);
         }
+        let sent = count(sent) / count(asked);
+        figure(
+            name,
+            policy,
+            spec.seed,
+            "sent_over_asked",
+            sent,
+            AtMost(1.1),
+        );
+        let part = measure::weight_part(&outcome, &spec.load.classes, at(20), at(40));
+        plain(
+            name,
+            policy,
+            spec.seed,
+            "weight_in_time_percent",
+            part * 100.0,
+        );
+        let after = measure::weight_part(&outcome, &spec.load.classes, at(41), at(51));
+        plain(
+            name,
+            policy,
+            spec.seed,
+            "weight_afterwards_percent",
+            after * 100.0,
+        );
     }
 }
--- a/crates/policy/examples/policies/measure.rs
+++ b/crates/policy/examples/policies/measure.rs
@@ -57,6 +57,14 @@
         .sum()
 }
 
+/// Returns the part of the weight that was answered in time among arrivals in a span.
+pub fn weight_part(outcome: &Outcome, classes: &[Class], from: Instant, to: Instant) -> f64 {
+    let offered: f64 = arrived(outcome, from, to)
+        .map(|record| f64::from(classes[usize::from(record.class)].weight))
+        .sum();
+    weight_in_time(outcome, classes, from, to) / offered
+}
+
 /// Returns the most weight that a capacity allows among arrivals in a span.
 ///
 /// `cost` gives the work of a request at speed 1 in seconds. Requests are taken by worth for
@@ -93,18 +101,10 @@
         .collect()
 }
 
-/// Returns the response times of answered requests that are no stragglers.
-pub fn short_times(outcome: &Outcome, from: Instant, to: Instant) -> Vec<Duration> {
-    arrived(outcome, from, to)
-        .filter(|record| !record.straggler)
-        .filter_map(|record| Some(record.answered?.since(record.arrived)))
-        .collect()
-}
-
-/// Returns the response times of the answered requests of a class.
-pub fn class_times(outcome: &Outcome, class: u8, from: Instant, to: Instant) -> Vec<Duration> {
+/// Returns the response times of the answered requests of a class that are no stragglers.
+pub fn short_times(outcome: &Outcome, class: u8, from: Instant, to: Instant) -> Vec<Duration> {
     arrived(outcome, from, to)
-        .filter(|record| record.class == class)
+        .filter(|record| record.class == class && !record.straggler)
         .filter_map(|record| Some(record.answered?.since(record.arrived)))
         .collect()
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -39,7 +39,9 @@
     fn admit(&self, offer: &Offer, backlog: &Backlog) -> Result<(), Reason>;
 
     /// Returns the slots, of `limit`, that work likely to be long may not hold.
-    fn reserve(&self, limit: usize) -> usize;
+    ///
+    /// `short_load` is the number of slots that short work keeps busy on average.
+    fn reserve(&self, limit: usize, short_load: f64) -> usize;
 
     /// Tells whether long runs are given up for waiting work.
     fn preempts(&self) -> bool;
--- a/crates/policy/src/admission/deadline.rs
+++ b/crates/policy/src/admission/deadline.rs
@@ -26,8 +26,10 @@
 const LEVELS_PER_DOUBLING: f64 = 2.0;
 /// Levels that a retry goes behind the first attempts.
 const RETRY_LEVELS: i32 = 2;
-/// Part of the slots that likely-long work may not hold.
+/// Least part of the slots that likely-long work may not hold: one of so many.
 const RESERVE_DIVISOR: usize = 3;
+/// Largest part of the slots that likely-long work may not hold: one of so many.
+const MAX_RESERVE_DIVISOR: usize = 2;
 /// Least part of the capacity that a level is taken to have, however much arrives before it.
 const MIN_SHARE: f64 = 0.05;
 /// Largest part of the time left that typical work may take off the waiting time.
@@ -73,8 +75,14 @@
         Err(Reason::Overloaded)
     }
 
-    fn reserve(&self, limit: usize) -> usize {
-        limit / RESERVE_DIVISOR
+    fn reserve(&self, limit: usize, short_load: f64) -> usize {
+        let least = limit / RESERVE_DIVISOR;
+        let most = limit / MAX_RESERVE_DIVISOR;
+        let mut slots = (0_u32..).zip(least..most);
+        let least_load = f64::from(u32::try_from(least).unwrap_or(u32::MAX));
+        slots
+            .find(|(more, _)| least_load + f64::from(*more) >= short_load)
+            .map_or(most, |(_, slots)| slots)
     }
 
     fn preempts(&self) -> bool {
--- a/crates/policy/src/admission/fifo.rs
+++ b/crates/policy/src/admission/fifo.rs
@@ -35,7 +35,7 @@
         Ok(())
     }
 
-    fn reserve(&self, _limit: usize) -> usize {
+    fn reserve(&self, _limit: usize, _short_load: f64) -> usize {
         0
     }
 
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -12,7 +12,7 @@
 /// Tokens that a retry costs, in hundredths of a retry.
 const RETRY_COST: u64 = 100;
 /// Time of successes whose tokens the budget keeps at most.
-const WINDOW: Duration = Duration::from_secs(10);
+const WINDOW: Duration = Duration::from_secs(2);
 /// Retries that a new budget may pay for before the first success.
 const INITIAL_RETRIES: u64 = 3;
 /// Smallest capacity of the budget, in retries.
--- a/crates/policy/src/duration.rs
+++ b/crates/policy/src/duration.rs
@@ -18,8 +18,12 @@
 const BUCKET_SHIFT: u32 = u64::BITS - BUCKETS.ilog2();
 /// Samples of a bucket from which on it counts for itself.
 const MIN_BUCKET_SAMPLES: usize = 8;
-/// Multiple of the typical time from which on work counts as long.
+/// Multiple of the typical work of the shortest class from which on work is expected to be long.
 pub const LONG_FACTOR: f64 = 8.0;
+/// Multiple of the typical work of its class from which on running work counts as long.
+const RUNNING_LONG_FACTOR: f64 = 4.0;
+/// Samples of a class from which on others are compared with it.
+const MIN_CLASS_SAMPLES: u32 = 16;
 /// Keys whose work was long lately that are remembered at most.
 const LONG_KEYS: usize = 1_024;
 /// Long requests in a row that make a key count as long; one alone may be a straggler.
@@ -133,7 +137,8 @@
         let class_typical = known.typical();
         let typical = known.bucket_typical(bucket(key));
         let long_key = self.long_keys.contains(class, key);
-        let long = long_key || typical >= class_typical * LONG_FACTOR;
+        let shortest = self.shortest().unwrap_or(class_typical).min(class_typical);
+        let long = long_key || typical >= shortest * LONG_FACTOR;
         let least = if long_key { LONG_FACTOR } else { 0.0 };
         let typical = typical.max(class_typical * least);
         let mean = known.mean * typical / class_typical;
@@ -144,13 +149,22 @@
         }
     }
 
-    /// Returns the work from which on a request counts as long.
+    /// Returns the work from which on a running request counts as long.
     #[must_use]
     pub fn long_from(&self, class: u8) -> Duration {
         let typical = self
             .class(class)
             .map_or(UNKNOWN.as_secs_f64(), Class::typical);
-        Duration::from_secs_f64(typical * LONG_FACTOR)
+        Duration::from_secs_f64(typical * RUNNING_LONG_FACTOR)
+    }
+
+    /// Returns the typical work of the class whose work is shortest, in seconds.
+    fn shortest(&self) -> Option<f64> {
+        self.classes
+            .iter()
+            .filter(|class| class.samples >= MIN_CLASS_SAMPLES)
+            .map(Class::typical)
+            .min_by(f64::total_cmp)
     }
 
     /// Remembers a key whose work was long and forgets one whose work was not.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -28,7 +28,7 @@
 
 pub use request::{Action, Ending, Request, Settings, Target};
 
-use queue::{Kind, Queue, Ticket};
+use queue::{Queue, Ticket};
 use server::{Run, Server};
 
 /// Times that an invariant was found broken.
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -47,12 +47,17 @@
                     id: request.id,
                 },
                 work: offer.estimate.mean,
+                since: now,
                 urgent_at: self.admission.urgent_at(&offer),
             },
             give_up: self.admission.give_up(&offer).min(request.deadline),
             request,
         };
         self.enqueue(now, waiting);
+        if !kind.long {
+            let typical = offer.estimate.typical;
+            self.queue_mut(place).record_short(now, typical);
+        }
         Ok(())
     }
 
--- a/crates/policy/src/scheduler/outlook.rs
+++ b/crates/policy/src/scheduler/outlook.rs
@@ -54,7 +54,7 @@
         let Some(server) = self.server(backend) else {
             return false;
         };
-        self.class_fits(server, kind) && self.reserve_holds(now, server, kind)
+        self.class_fits(server, kind) && self.reserve_holds(now, backend, server, kind)
     }
 
     /// Returns when a request that starts now will count as long.
@@ -87,15 +87,36 @@
     }
 
     /// Tells whether the slots kept for short work stay free of long work.
-    fn reserve_holds(&self, now: Instant, server: &Server, kind: Kind) -> bool {
+    fn reserve_holds(&self, now: Instant, backend: u16, server: &Server, kind: Kind) -> bool {
         if !kind.long {
             return true;
         }
         let limit = server.nominal_limit(now, self.slots);
-        let reserve = self.admission.reserve(limit);
+        let reserve = self.reserve(now, backend, server);
         server.long_runs(now) + reserve < limit
     }
 
+    /// Returns the slots of a server that long work may not hold.
+    pub(super) fn reserve(&self, now: Instant, backend: u16, server: &Server) -> usize {
+        let limit = server.nominal_limit(now, self.slots);
+        let own = server.queue.short_inflow(now) / self.speeds.speed(backend);
+        let short_load = own + self.common_short_part(now) * float(limit);
+        self.admission.reserve(limit, short_load)
+    }
+
+    /// Returns the part of all slots that short work of the common queue keeps busy.
+    fn common_short_part(&self, now: Instant) -> f64 {
+        let inflow = self.common.short_inflow(now);
+        if inflow <= 0.0 {
+            return 0.0;
+        }
+        let capacity: f64 = self
+            .servers_of(Place::Common)
+            .map(|(_, server, speed)| float(server.nominal_limit(now, self.slots)) * speed)
+            .sum();
+        inflow / capacity.max(f64::MIN_POSITIVE)
+    }
+
     fn queue(&self, place: Place) -> &Queue {
         match place {
             Place::Server(backend) => &self.servers[usize::from(backend)].queue,
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -1,8 +1,9 @@
 //! Preemption of long runs whose slots are worth more to waiting work.
 //!
 //! Nobody can tell a straggler before it runs, so reserved slots alone cannot keep stragglers from
-//! holding every slot of a server. A run that has become long is given up in two cases: when long
-//! work has taken slots that are reserved for short work while short work waits, and when work of
+//! holding every slot of a server. A run that has become long is given up in three cases: when long
+//! work has taken slots that are reserved for short work while short work waits, when it holds
+//! half the slots and short work has waited for as long as it typically runs, and when work of
 //! more worth for each second is being refused. A run is given up once at most; submitted again
 //! under its identifier, it waits as long work.
 
@@ -12,6 +13,7 @@
 use tarragon_model::time::Instant;
 
 use super::Scheduler;
+use super::queue::Kind;
 use super::server::{Run, Server};
 use crate::admission::Offer;
 use crate::duration::Estimate;
@@ -82,20 +84,50 @@
         let Some(server) = self.server(backend) else {
             return false;
         };
-        self.breaks_reserve(now, backend, server) || self.is_worth_less(now, server, run)
+        self.breaks_reserve(now, backend, server)
+            || self.blocks_short(now, backend, server, run)
+            || self.is_worth_less(now, server, run)
     }
 
     /// Tells whether long work holds reserved slots while short work waits for them.
     fn breaks_reserve(&self, now: Instant, backend: u16, server: &Server) -> bool {
         let limit = server.nominal_limit(now, self.slots);
-        let reserve = self.admission.reserve(limit);
+        let reserve = self.reserve(now, backend, server);
         if server.long_runs(now) + reserve <= limit {
             return false;
         }
-        let waits = |kind: super::Kind| !kind.long && self.is_eligible(now, backend, kind);
+        let waits = |kind: Kind| !kind.long && self.is_eligible(now, backend, kind);
         server.queue.first(now, waits).is_some() || self.common.first(now, waits).is_some()
     }
 
+    /// Tells whether short work of more worth has waited for as long as it typically runs, while
+    /// long work holds half the slots or more.
+    fn blocks_short(&self, now: Instant, backend: u16, server: &Server, run: &Run) -> bool {
+        let limit = server.nominal_limit(now, self.slots);
+        if server.long_runs(now) * 2 < limit {
+            return false;
+        }
+        let waits = |kind: Kind| !kind.long && self.is_eligible(now, backend, kind);
+        let queues = [&server.queue, &self.common];
+        let first = queues
+            .iter()
+            .filter_map(|queue| queue.first_ranked(waits))
+            .min();
+        first.is_some_and(|(position, since)| {
+            let is_late = now.since(since) >= self.typical_time(position.id, backend);
+            is_late && position.rank.level <= self.level_of(now, run)
+        })
+    }
+
+    /// Returns how long a waiting request typically runs on a server.
+    fn typical_time(&self, id: u64, backend: u16) -> Duration {
+        let request = self.waiting.get(&id).map(|waiting| &waiting.request);
+        request.map_or(Duration::MAX, |request| {
+            let estimate = self.durations.estimate(request.class, request.key);
+            estimate.typical.div_f64(self.speeds.speed(backend))
+        })
+    }
+
     /// Tells whether work of more worth for each second is being refused.
     fn is_worth_less(&self, now: Instant, server: &Server, run: &Run) -> bool {
         let queues = [&server.queue, &self.common];
--- a/crates/policy/src/scheduler/queue.rs
+++ b/crates/policy/src/scheduler/queue.rs
@@ -1,6 +1,6 @@
 //! Queue of waiting requests, ordered within lanes that are eligible or not as a whole.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -10,6 +10,8 @@
 
 /// Time over which arrivals are averaged.
 const INFLOW_WINDOW: Duration = Duration::from_millis(200);
+/// Time over which the load of short work is averaged.
+const SHORT_WINDOW: Duration = Duration::from_secs(2);
 /// Levels of arrivals that are kept apart; the busiest stay.
 const MAX_LEVELS: usize = 32;
 
@@ -44,6 +46,8 @@
     pub(super) position: Position,
     /// Expected work at speed 1.
     pub(super) work: Duration,
+    /// Time of arrival.
+    pub(super) since: Instant,
     /// Time from which on the request goes before those that are not urgent.
     pub(super) urgent_at: Instant,
 }
@@ -73,6 +77,7 @@
 pub(super) struct Queue {
     lanes: SmallVec<[Lane; 4]>,
     inflow: SmallVec<[Inflow; 8]>,
+    short: Flow,
     len: usize,
     refused: Option<Refused>,
 }
@@ -90,7 +95,7 @@
 #[derive(Debug)]
 struct Lane {
     kind: Kind,
-    positions: BTreeSet<Position>,
+    positions: BTreeMap<Position, Instant>,
     urgent: BTreeSet<Urgency>,
     work: SmallVec<[Work; 4]>,
 }
@@ -110,10 +115,16 @@
     total: Duration,
 }
 
-/// Arriving work of one level, as a sum that decays over [`INFLOW_WINDOW`].
+/// Arriving work of one level.
 #[derive(Clone, Copy, Debug)]
 struct Inflow {
     level: i32,
+    flow: Flow,
+}
+
+/// Arriving work as a sum that decays over a window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
     seconds: f64,
     updated: Instant,
 }
@@ -162,6 +173,19 @@
             .min_by_key(|head| head.claim)
     }
 
+    /// Returns the request that is first by rank, of the kinds given, and its time of arrival.
+    pub(super) fn first_ranked(
+        &self,
+        counts: impl Fn(Kind) -> bool,
+    ) -> Option<(Position, Instant)> {
+        self.lanes
+            .iter()
+            .filter(|lane| counts(lane.kind))
+            .filter_map(|lane| lane.positions.first_key_value())
+            .map(|(position, since)| (*position, *since))
+            .min()
+    }
+
     /// Returns the waiting work of the kinds given, up to a level and with it.
     pub(super) fn ahead(&self, level: i32, counts: impl Fn(Kind) -> bool) -> Duration {
         self.lanes
@@ -178,23 +202,30 @@
         let index = self.inflow.iter().position(|inflow| inflow.level == level);
         let index = index.unwrap_or_else(|| {
             self.drop_least_inflow(now);
-            self.inflow.push(Inflow::new(now, level));
+            let flow = Flow::default();
+            self.inflow.push(Inflow { level, flow });
             self.inflow.len() - 1
         });
-        let inflow = &mut self.inflow[index];
-        inflow.seconds = inflow.decayed(now) + work.as_secs_f64();
-        inflow.updated = now;
+        self.inflow[index].flow.add(now, work, INFLOW_WINDOW);
+    }
+
+    /// Records typical work of a request that is not likely to be long.
+    pub(super) fn record_short(&mut self, now: Instant, work: Duration) {
+        self.short.add(now, work, SHORT_WINDOW);
+    }
+
+    /// Returns the typical work of short requests that arrives, in seconds of work a second.
+    pub(super) fn short_inflow(&self, now: Instant) -> f64 {
+        self.short.rate(now, SHORT_WINDOW)
     }
 
     /// Returns the work of smaller levels that arrives, in seconds of work a second.
     pub(super) fn inflow_before(&self, now: Instant, level: i32) -> f64 {
-        let seconds: f64 = self
-            .inflow
+        self.inflow
             .iter()
             .filter(|inflow| inflow.level < level)
-            .map(|inflow| inflow.decayed(now))
-            .sum();
-        seconds / INFLOW_WINDOW.as_secs_f64()
+            .map(|inflow| inflow.flow.rate(now, INFLOW_WINDOW))
+            .sum()
     }
 
     /// Records that work was refused.
@@ -212,7 +243,8 @@
         if self.inflow.len() < MAX_LEVELS {
             return;
         }
-        let rates = self.inflow.iter().map(|inflow| inflow.decayed(now));
+        let flows = self.inflow.iter().map(|inflow| inflow.flow);
+        let rates = flows.map(|flow| flow.rate(now, INFLOW_WINDOW));
         let least = rates.enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
         if let Some((index, _)) = least {
             self.inflow.swap_remove(index);
@@ -224,7 +256,7 @@
     fn new(kind: Kind) -> Self {
         Self {
             kind,
-            positions: BTreeSet::new(),
+            positions: BTreeMap::new(),
             urgent: BTreeSet::new(),
             work: SmallVec::new(),
         }
@@ -240,16 +272,16 @@
                 id: urgency.id,
             });
         }
-        let position = *self.positions.first()?;
+        let (position, _) = self.positions.first_key_value()?;
         Some(Head {
             kind: self.kind,
-            claim: Claim::Ranked(position),
+            claim: Claim::Ranked(*position),
             id: position.id,
         })
     }
 
     fn insert(&mut self, ticket: &Ticket) {
-        self.positions.insert(ticket.position);
+        self.positions.insert(ticket.position, ticket.since);
         self.urgent.insert(Urgency::of(ticket));
         let (level, work) = (ticket.position.rank.level, ticket.work);
         match self.work.iter_mut().find(|entry| entry.level == level) {
@@ -259,7 +291,7 @@
     }
 
     fn remove(&mut self, ticket: &Ticket) -> bool {
-        if !self.positions.remove(&ticket.position) {
+        if self.positions.remove(&ticket.position).is_none() {
             return false;
         }
         self.urgent.remove(&Urgency::of(ticket));
@@ -282,17 +314,19 @@
     }
 }
 
-impl Inflow {
-    fn new(now: Instant, level: i32) -> Self {
-        Self {
-            level,
-            seconds: 0.0,
-            updated: now,
-        }
+impl Flow {
+    fn add(&mut self, now: Instant, work: Duration, window: Duration) {
+        self.seconds = self.decayed(now, window) + work.as_secs_f64();
+        self.updated = now;
+    }
+
+    /// Returns the seconds of work that arrive in a second.
+    fn rate(&self, now: Instant, window: Duration) -> f64 {
+        self.decayed(now, window) / window.as_secs_f64()
     }
 
-    fn decayed(&self, now: Instant) -> f64 {
-        let age = now.since(self.updated).as_secs_f64();
-        self.seconds * (-age / INFLOW_WINDOW.as_secs_f64()).exp()
+    fn decayed(&self, now: Instant, window: Duration) -> f64 {
+        let age = now.since(self.updated).div_duration_f64(window);
+        self.seconds * (-age).exp()
     }
 }
--- a/crates/policy/src/scheduler/server.rs
+++ b/crates/policy/src/scheduler/server.rs
@@ -21,15 +21,17 @@
 /// Slots that one success gives back.
 const SUCCESS_STEP: f64 = 0.25;
 /// Shortest time that a shedding server is left alone.
-const MIN_SHED_PAUSE: Duration = Duration::from_millis(5);
+const MIN_SHED_PAUSE: Duration = Duration::from_millis(2);
 /// Longest time that a shedding server is left alone.
-const MAX_SHED_PAUSE: Duration = Duration::from_millis(320);
-/// Failures in a row after which a server is only probed.
-const FAILURES_TO_PROBE: u32 = 3;
+const MAX_SHED_PAUSE: Duration = Duration::from_millis(64);
+/// Part of the latest requests that failed above which a server is only probed.
+const FAILURES_TO_PROBE: f64 = 0.7;
+/// Weight of the latest request in that part.
+const FAILURE_GAIN: f64 = 0.1;
 /// Shortest time between two probes of a failing server.
 const MIN_PROBE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time between two probes of a failing server.
-const MAX_PROBE_PAUSE: Duration = Duration::from_millis(800);
+const MAX_PROBE_PAUSE: Duration = Duration::from_millis(400);
 
 /// Request that runs on a backend server.
 #[derive(Clone, Copy, Debug)]
@@ -69,7 +71,7 @@
     limit: f64,
     paused_until: Instant,
     pause: Duration,
-    failures: u32,
+    failures: f64,
 }
 
 impl Server {
@@ -84,7 +86,7 @@
             limit: float(slots),
             paused_until: now,
             pause: Duration::ZERO,
-            failures: 0,
+            failures: 0.0,
         }
     }
 
@@ -98,7 +100,7 @@
             self.limit = float(slots);
             self.paused_until = now;
             self.pause = Duration::ZERO;
-            self.failures = 0;
+            self.failures = 0.0;
         }
         self.state = state;
         self.since = now;
@@ -179,14 +181,11 @@
     }
 
     fn is_probed(&self) -> bool {
-        self.failures >= FAILURES_TO_PROBE
+        self.failures > FAILURES_TO_PROBE
     }
 
     fn succeed(&mut self, slots: usize) {
-        if self.is_probed() {
-            self.limit = 1.0;
-        }
-        self.failures = 0;
+        self.failures -= self.failures * FAILURE_GAIN;
         self.pause = Duration::ZERO;
         self.limit = (self.limit + SUCCESS_STEP).min(float(slots));
     }
@@ -200,7 +199,7 @@
     }
 
     fn fail(&mut self, now: Instant) {
-        self.failures = self.failures.saturating_add(1);
+        self.failures += (1.0 - self.failures) * FAILURE_GAIN;
         if self.is_probed() {
             self.pause_for(now, MIN_PROBE_PAUSE, MAX_PROBE_PAUSE);
         }
--- /dev/null
+++ b/crates/policy/tests/budget.rs
@@ -0,0 +1,54 @@
+//! Retries stay a part of the successes, whatever happens to single calls.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tarragon_model::time::Instant;
+use tarragon_policy::budget::Budget;
+
+/// Retries that a budget may grant beyond its part of the successes.
+const START: u64 = 3;
+
+proptest! {
+    #[test]
+    fn retries_are_a_part_of_the_successes(
+        percent in 0..50_u8,
+        steps in prop::collection::vec((any::<bool>(), 0..200_u64), 1..2_000),
+    ) {
+        let mut budget = Budget::new(percent);
+        let mut now = Instant::ZERO;
+        let (mut successes, mut retries) = (0_u64, 0_u64);
+        for (succeeds, pause) in steps {
+            now = now + Duration::from_millis(pause);
+            if succeeds {
+                budget.success(now);
+                successes += 1;
+            } else if budget.try_retry(now) {
+                retries += 1;
+            }
+            prop_assert!(retries * 100 <= successes * u64::from(percent) + START * 100);
+        }
+    }
+}
+
+#[test]
+fn no_retry_without_a_part() {
+    let mut budget = Budget::new(0);
+    budget.success(Instant::ZERO);
+    assert!(!budget.try_retry(Instant::ZERO));
+}
+
+#[test]
+fn budget_saved_before_a_brownout_is_spent_soon() {
+    let mut budget = Budget::new(10);
+    let mut now = Instant::ZERO;
+    for _ in 0..60_000 {
+        now = now + Duration::from_millis(1);
+        budget.success(now);
+    }
+    let mut retries = 0;
+    while budget.try_retry(now) {
+        retries += 1;
+    }
+    assert!(retries <= 200, "{retries}");
+}
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -468,3 +468,71 @@
     }
     assert!((3..20).contains(&starts), "{starts}");
 }
+
+/// Fills a server's slots, the first `long` of them with work that does not end, lets a short
+/// request wait and returns what is given up.
+fn preempted(long: u64, may_cancel: bool) -> Vec<u64> {
+    let mut scheduler = Scheduler::new(&Settings::new(6, 110));
+    let mut actions = Vec::new();
+    let mut now = Instant::from_millis(1);
+    scheduler.set_backend(now, 0, State::Live);
+    let mut submit = |scheduler: &mut Scheduler, now: Instant, id: u64| {
+        let mut request = request(id, now, 1);
+        request.deadline = now + Duration::from_secs(5);
+        scheduler.submit(now, request);
+        scheduler.poll(now, &mut actions);
+    };
+    for id in 100..150 {
+        submit(&mut scheduler, now, id);
+        now = now + Duration::from_millis(10);
+        scheduler.complete(now, id, Ending::Served);
+    }
+    for id in 0..long {
+        submit(&mut scheduler, now, id);
+    }
+    now = now + Duration::from_millis(100);
+    for id in long..7 {
+        submit(&mut scheduler, now, id);
+    }
+    now = now + Duration::from_millis(20);
+    let chosen = scheduler.preempt(now, |_| may_cancel);
+    assert!(scheduler.preempt(now, |_| false).is_empty());
+    chosen.to_vec()
+}
+
+#[test]
+fn long_runs_are_given_up_for_short_work_that_waits() {
+    assert_eq!(preempted(2, true), []);
+    assert_eq!(preempted(6, true).len(), 1);
+    assert_eq!(preempted(6, false), []);
+}
+
+#[test]
+fn work_that_is_known_to_be_long_leaves_slots_free() {
+    let mut settings = Settings::new(6, 110);
+    settings.classes = vec![class("short", 6), class("long", 6)];
+    let mut scheduler = Scheduler::new(&settings);
+    scheduler.set_backend(Instant::ZERO, 0, State::Live);
+    let mut actions = Vec::new();
+    let mut now = Instant::ZERO;
+    for id in 1..100 {
+        let mut learned = request(id, now, 1);
+        learned.class = u8::from(id % 2 == 0);
+        let time = if learned.class == 0 { 2 } else { 100 };
+        scheduler.submit(now, learned);
+        scheduler.poll(now, &mut actions);
+        now = now + Duration::from_millis(time);
+        scheduler.complete(now, id, Ending::Served);
+    }
+    for id in 100..110 {
+        let mut long = request(id, now, 1);
+        long.class = 1;
+        long.deadline = now + Duration::from_secs(9);
+        scheduler.submit(now, long);
+    }
+    scheduler.poll(now, &mut actions);
+    assert_eq!(scheduler.running(0), 4);
+    scheduler.submit(now, request(200, now, 1));
+    scheduler.poll(now, &mut actions);
+    assert_eq!(scheduler.running(0), 5);
+}
