Let keys leave servers that shed or fail; start at once without waiting

And a preset with wait_percent 0 refused everything, because waiting work expired before free slots were dealt out.

Planners are now told of refused requests with their expected time, and the speed they see is Scheduler::capacity, which falls with what the server stands. Work may always wait one microsecond.

--- a/crates/policy/examples/policies/drive.rs
+++ b/crates/policy/examples/policies/drive.rs
@@ -353,6 +353,7 @@
                 Action::Start { id, backend } => self.start(id, backend),
                 Action::Refuse { id, .. } => {
                     let call = self.calls.remove(&id).expect("a known request");
+                    self.record_demand(&call.arrival);
                     let record = &mut self.outcome.records[call.record];
                     record.refused = true;
                     if call.attempt == 0 {
@@ -368,6 +369,17 @@
         }
     }
 
+    /// Tells the planner of a request that was refused.
+    fn record_demand(&mut self, arrival: &Arrival) {
+        let group = arrival.key.group(self.spec.groups);
+        let owner = self.owner(arrival.key, group);
+        let time = self
+            .scheduler
+            .expected_time(arrival.class, arrival.key, owner);
+        self.planner
+            .record(self.now, group, arrival.key, time, owner);
+    }
+
     /// Cancels long runs that the scheduler gives up and submits them again.
     fn preempt(&mut self) -> bool {
         let chosen = self.scheduler.preempt(self.now, |_| true);
@@ -497,7 +509,7 @@
         let backends: Vec<placement::Backend> = (0..)
             .zip(&self.states)
             .map(|(index, state)| placement::Backend {
-                speed: self.scheduler.speed(index),
+                speed: self.scheduler.capacity(index),
                 state: *state,
             })
             .collect();
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -36,6 +36,9 @@
     fn initial(&self, groups: &[key::Group], backends: &[Backend]) -> Vec<u16>;
 
     /// Records that `backend` spent `time` on a request of a key.
+    ///
+    /// Requests that were refused for want of slots count with the time that they were expected
+    /// to take; otherwise a server that refuses work looks idle.
     fn record(
         &mut self,
         now: Instant,
@@ -52,7 +55,7 @@
 /// Backend server as a planner sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Backend {
-    /// Learned speed; 1 is the average of the shard.
+    /// Learned speed, less what the server does not stand; 1 is the average of the shard.
     pub speed: f64,
     /// Standing.
     pub state: State,
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -9,6 +9,7 @@
 //! asserted in debug builds.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
 
 use tarragon_model::time::Instant;
 use tarragon_model::{config, key};
@@ -336,6 +337,28 @@
         self.speeds.speed(backend)
     }
 
+    /// Returns the learned speed times the part of its slots that a backend server stands.
+    ///
+    /// A planner takes this for the speed, so that keys leave a server that sheds or fails. The
+    /// ramp of a cold server does not count, since it is over before a move is.
+    #[must_use]
+    pub fn capacity(&self, backend: u16) -> f64 {
+        let part = self
+            .server(backend)
+            .map_or(1.0, |server| server.learned_part(self.slots));
+        self.speed(backend) * part
+    }
+
+    /// Returns how long a request is expected to run on a backend server, stragglers included.
+    ///
+    /// A planner is told of refused requests with this time, since a server that refuses work
+    /// would look idle otherwise.
+    #[must_use]
+    pub fn expected_time(&self, class: u8, key: key::Hash, backend: u16) -> Duration {
+        let estimate = self.durations.estimate(class, key);
+        estimate.mean.div_f64(self.speed(backend))
+    }
+
     /// Returns how often each invariant was found broken.
     #[must_use]
     pub const fn violations(&self) -> Violations {
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -1,6 +1,7 @@
 //! Intake of requests: admission, the queues and withdrawal from them.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use smallvec::SmallVec;
 use tarragon_model::outcome::Reason;
@@ -11,6 +12,9 @@
 use super::{Place, Request, Scheduler, Target, Waiting};
 use crate::choice;
 
+/// Wait that even a preset without waiting allows, so that a free slot can be taken.
+const LEAST_WAIT: Duration = Duration::from_micros(1);
+
 impl Scheduler {
     /// Decides on a request and puts it in its queue.
     pub(super) fn try_enqueue(&mut self, now: Instant, request: Request) -> Result<(), Reason> {
@@ -50,7 +54,11 @@
                 since: now,
                 urgent_at: self.admission.urgent_at(&offer),
             },
-            give_up: self.admission.give_up(&offer).min(request.deadline),
+            give_up: self
+                .admission
+                .give_up(&offer)
+                .max(now + LEAST_WAIT)
+                .min(request.deadline),
             request,
         };
         self.enqueue(now, waiting);
--- a/crates/policy/src/scheduler/server.rs
+++ b/crates/policy/src/scheduler/server.rs
@@ -126,6 +126,13 @@
         learned
     }
 
+    /// Returns the part of the slots that the server was found to stand, from 0 to 1.
+    pub(super) fn learned_part(&self, slots: usize) -> f64 {
+        let slots = float(slots.max(1));
+        let learned = if self.is_probed() { 1.0 } else { self.limit };
+        (learned / slots).clamp(1.0 / slots, 1.0)
+    }
+
     /// Returns the free slots.
     pub(super) fn free(&self, now: Instant, slots: usize) -> usize {
         let used = self.runs.len() + self.foreign;
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -536,3 +536,22 @@
     scheduler.poll(now, &mut actions);
     assert_eq!(scheduler.running(0), 5);
 }
+
+#[test]
+fn preset_without_waiting_still_takes_free_slots() {
+    let mut settings = Settings::new(1, 110);
+    settings.preset.wait_percent = 0;
+    let mut scheduler = Scheduler::new(&settings);
+    let now = Instant::from_millis(1);
+    scheduler.set_backend(now, 0, State::Live);
+    scheduler.submit(now, request(1, now, 1));
+    scheduler.submit(now, request(2, now, 1));
+    let mut actions = Vec::new();
+    scheduler.poll(now, &mut actions);
+    scheduler.poll(now + Duration::from_millis(1), &mut actions);
+    let started = Action::Start { id: 1, backend: 0 };
+    let refused = |action: &Action| matches!(action, Action::Refuse { id: 2, .. });
+    assert!(actions.contains(&started));
+    assert!(actions.iter().any(refused));
+    assert_eq!(actions.len(), 2);
+}
