Take the end of an empty answer for the end, and a leaving caller for no crash

Ruled out: backend servers closing early. Change: the sender's end is looked at first; a caller that leaves ends as abandoned and puts no backend server on trial. No second horizon for a new shard.

--- a/crates/node/src/node/authority.rs
+++ b/crates/node/src/node/authority.rs
@@ -17,7 +17,10 @@
 use crate::state::{Entry, State};
 
 /// First reign over a shard.
-const FIRST: Fence = Fence { epoch: 1, succession: 0 };
+const FIRST: Fence = Fence {
+    epoch: 1,
+    succession: 0,
+};
 
 impl Node {
     /// Carries out what the member of a shard asks for, and what follows from that.
--- a/crates/node/src/node/writes.rs
+++ b/crates/node/src/node/writes.rs
@@ -62,7 +62,7 @@
         };
         let fence = Fence::new(slot.epoch() + 1, 0);
         let state = slot.record.as_ref().map_or_else(State::default, |record| {
-            State::from_record(record, slot.groups.0, slot.groups.1, now.unix_ms)
+            State::from_record(record, slot.groups.0, slot.groups.1)
         });
         self.start_update(now, id, Purpose::Create, (fence, trio, &state), out);
     }
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -118,7 +118,7 @@
                 member.adopt(now.at, record, asks);
             }
             None if record.trio.contains(me) => {
-                let carried = (record.trio.leader == *me).then(|| self.rebuild(now, record));
+                let carried = (record.trio.leader == *me).then(|| self.rebuild(record));
                 let shard = self.id.clone();
                 let mut member = Member::new(me.clone(), shard, record, now.at, carried);
                 member.tick(now.at, asks);
@@ -129,9 +129,9 @@
     }
 
     /// Rebuilds what the record keeps, for a leader that takes over from nobody.
-    fn rebuild(&self, now: Now, record: &Record) -> Held<State> {
+    fn rebuild(&self, record: &Record) -> Held<State> {
         let (first, count) = self.groups;
-        let state = State::from_record(record, first, count, now.unix_ms);
+        let state = State::from_record(record, first, count);
         Held {
             reign: record.fence,
             index: record.index,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -80,16 +80,10 @@
 }
 
 impl State {
-    /// Rebuilds what the store's record keeps of a shard.
-    ///
-    /// The memory of requests is lost, so identifiers from before `horizon_ms` (milliseconds since
-    /// the Unix epoch) are answered as unknown from now on.
+    /// Rebuilds what the store's record keeps of a shard; the memory of requests is lost.
     #[must_use]
-    pub fn from_record(record: &Record, first_group: u32, groups: u32, horizon_ms: u64) -> Self {
+    pub fn from_record(record: &Record, first_group: u32, groups: u32) -> Self {
         let mut state = Self::default();
-        state
-            .ledger
-            .apply(&ledger::Entry::Horizon { at: horizon_ms });
         state.owners = vec![NOBODY; groups as usize];
         for run in &record.owners {
             let backend = state.position_of(&run.backend);
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -132,7 +132,7 @@
         .split('&')
         .filter_map(|pair| pair.split_once('='))
         .find(|(field, _)| *field == name)
-        .map(|(_, value)| value.to_owned())
+        .map(|(_, value)| decode(value))
 }
 
 fn text(status: StatusCode, text: &'static str) -> Response {
@@ -155,3 +155,26 @@
     }
     text(StatusCode::ACCEPTED, "draining\n")
 }
+
+/// Decodes `%XX` escapes; a wrong escape is kept as it stands.
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let escape = tail
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        let decoded = escape.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        match (first, decoded) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/crates/router/src/front/lead.rs
+++ b/crates/router/src/front/lead.rs
@@ -200,12 +200,12 @@
             () = watch.cancelled() => {}
         }
     });
-    let idle = Duration::from_millis(shared.settings.limits.body_idle_ms);
+    let idle = shared.body_idle();
     let chunks = relay::start(body, idle, abort, move |end| {
-        let ending = if end == End::Whole {
-            Ending::Served
-        } else {
-            Ending::Cut
+        let ending = match end {
+            End::Whole => Ending::Served,
+            End::Cut => Ending::Cut,
+            End::CallerGone => Ending::Abandoned,
         };
         leave.input = Some(Input::Ended { id, ending });
         drop(leave);
--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -54,7 +54,7 @@
     let length = body.size_hint().exact();
     let (sender, queue) = mpsc::channel(QUEUE);
     tokio::spawn(async move {
-        let end = pump(body, idle, &abort, &sender).await;
+        let end = pump(body, length, idle, &abort, &sender).await;
         if end == End::Cut {
             let _ = sender.send(Err(Box::new(Broken) as BoxError)).await;
         }
@@ -66,15 +66,19 @@
 
 async fn pump(
     mut body: Body,
+    mut left: Option<u64>,
     idle: Duration,
     abort: &CancellationToken,
     sender: &mpsc::Sender<Result<Bytes, BoxError>>,
 ) -> End {
     loop {
+        // The server drops a body as soon as its declared length was passed on, so the end of the
+        // sender's body is looked at before the end of the caller's interest.
         let frame = tokio::select! {
+            biased;
             () = abort.cancelled() => return End::Cut,
-            () = sender.closed() => return End::CallerGone,
             frame = timeout(idle, body.frame()) => frame,
+            () = sender.closed() => return gone(left),
         };
         let frame = match frame {
             Ok(None) => return End::Whole,
@@ -84,6 +88,7 @@
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
+        left = left.map(|left| left.saturating_sub(bytes.len() as u64));
         match timeout(idle, sender.send(Ok(bytes))).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return End::CallerGone,
@@ -91,6 +96,15 @@
     }
 }
 
+/// Tells how a body ended whose receiver was dropped with `left` bytes to come.
+fn gone(left: Option<u64>) -> End {
+    if left == Some(0) {
+        End::Whole
+    } else {
+        End::CallerGone
+    }
+}
+
 impl Chunks {
     /// Makes the body of an HTTP answer.
     #[must_use]
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tarragon_model::host::{self, Peer};
 use tarragon_model::settings;
@@ -133,6 +134,19 @@
         journal.observe(unix_micros(), stamp);
     }
 
+    /// Returns the longest pause within a body.
+    #[must_use]
+    pub fn body_idle(&self) -> Duration {
+        let limits = &self.settings.limits;
+        let draining = self.drain.is_cancelled();
+        let millis = if draining {
+            limits.shutdown_idle_ms
+        } else {
+            limits.body_idle_ms
+        };
+        Duration::from_millis(millis)
+    }
+
     /// Returns the address to dial for an advertised address.
     #[must_use]
     pub fn dialled(&self, addr: SocketAddr) -> SocketAddr {
