Hold refused-for-fence requests for the grant; forward again by identifier

Ruled out: lost grants (the next one was taken). Change: such requests wait for the grant; a forwarded request whose connection broke is sent to the leader again, whose ledger keeps it from running twice.

--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -178,7 +178,7 @@
         Some(Target::Owner(owner))
     }
 
-    fn hold(&mut self, id: u64) {
+    pub(super) fn hold(&mut self, id: u64) {
         if let Some(flight) = self.flights.get_mut(&id) {
             flight.phase = Phase::Held;
             self.held.push(id);
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -152,7 +152,7 @@
             fence: setup.fence,
             first_group,
             config_version: setup.config_version,
-            config_in_force: 0,
+            config_in_force: log.state().config_version,
             scheduler: Scheduler::new(&settings(&service, &preset)),
             planner: placement::create(placement::DEFAULT)?,
             budget: Budget::new(preset.retry_percent),
--- a/crates/node/src/engine/results.rs
+++ b/crates/node/src/engine/results.rs
@@ -136,7 +136,12 @@
         };
         self.give_back(now, id, ending);
         self.not_run(now, id, log);
-        self.again(now, id, out, log);
+        if fenced {
+            // Nothing is wrong with the request or the server: it waits for the grant of this reign.
+            self.hold(id);
+        } else {
+            self.again(now, id, out, log);
+        }
     }
 
     fn not_connected(
--- a/crates/router/src/front/route.rs
+++ b/crates/router/src/front/route.rs
@@ -18,8 +18,9 @@
 
 /// Brings a request to its leader, as often as its deadline allows.
 ///
-/// A request is tried again only when it provably did not run, or when running it twice does no
-/// harm. The leader's memory of identifiers is what keeps a resent request from running twice.
+/// A request is tried again when it provably did not run, when running it twice does no harm, or
+/// when it carries an identifier: the leader's memory, which its standbys hold too, keeps a request
+/// that was dispatched from being dispatched again.
 pub async fn to_leader(shared: &Shared, client: &Client, task: &Task) -> Answer {
     let mut last = Answer::refuse(Reason::NoLeader);
     let mut maybe_run = false;
@@ -30,11 +31,10 @@
             Some(Route::There(addr)) => match forward::send(shared, client, task, addr).await {
                 Forwarded::Answered(answer) => answer,
                 Forwarded::NotSent => Answer::refuse(Reason::NoLeader),
-                Forwarded::Broken if task.idempotent => {
+                Forwarded::Broken => {
                     maybe_run = true;
                     Answer::refuse(Reason::NoLeader)
                 }
-                Forwarded::Broken => return Answer::told(Outcome::Unknown, Reason::BackendFailed),
             },
             None => Answer::refuse(Reason::NoLeader),
         };
