--- a/crates/lease/src/timing.rs
+++ b/crates/lease/src/timing.rs
@@ -1,7 +1,8 @@
 //! Spans of the lease protocol, measured on the monotonic clock of each process.
 //!
 //! A standby's promise outlasts the leader's lease by more than two clocks can drift apart in one
-//! lease when each runs within 5 % of true time.
+//! lease when each runs within 5 % of true time. The clock must go on while the process is paused
+//! or its machine suspended (`CLOCK_BOOTTIME` on Linux).
 
 use std::time::Duration;
 
