--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -108,6 +108,8 @@
 
 /// Runs the work until it ends or the user interrupts.
 fn interruptible<T>(work: impl AsyncFnOnce(CancellationToken) -> Result<T>) -> Result<T> {
+    let env = env_logger::Env::new().filter_or("TARRAGON_LOG", "tarragon_lab=info");
+    let _ = env_logger::Builder::from_env(env).try_init();
     let runtime = runtime()?;
     runtime.block_on(async {
         let stop = CancellationToken::new();
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use tarragon_timeline::event::{Event, Kind};
+use tarragon_timeline::event::Kind;
 
 use crate::deployment::Deployment;
 use crate::error::{Error, Result};
@@ -58,6 +58,7 @@
         load: Load::Factor(1.0),
         report: None,
         seeded_fault: None,
+        probes: KEYS,
         keep: false,
     }
 }
@@ -67,8 +68,7 @@
     println!("starting {HOSTS} hosts, {servers} backend servers, the store and the links");
     system.start(stop).await?;
     let caller = system.caller(&options.deployment);
-    let mut keys = system.probe_keys(&options.deployment);
-    keys.truncate(KEYS);
+    let keys = system.probe_keys(&options.deployment, options.probes);
     system.await_serving(&caller, &keys).await?;
     println!("all hosts are ready; one request for each key:");
     for key in &keys {
@@ -161,16 +161,22 @@
 
 /// Prints the merged events that tell what happened to leaders and owners.
 fn time_line(system: &System) {
-    println!("time line of the hosts:");
+    println!("time line of the hosts (without backend-live, config-in-force and move-began):");
     let events = std::mem::take(&mut system.samples.lists().events);
-    let told = |event: &Event| {
-        !matches!(
-            event.kind,
-            Kind::PeerConnected | Kind::RequestRefused | Kind::RequestRetried
-        )
-    };
     let merged = tarragon_timeline::merge::merge(vec![events]);
-    for event in merged.iter().filter(|event| told(event)) {
+    for event in merged.iter().filter(|event| is_told(event.kind)) {
         println!("  {event}");
     }
 }
+
+fn is_told(kind: Kind) -> bool {
+    let details = [
+        Kind::BackendLive,
+        Kind::ConfigInForce,
+        Kind::MoveBegan,
+        Kind::PeerConnected,
+        Kind::RequestRefused,
+        Kind::RequestRetried,
+    ];
+    !details.contains(&kind)
+}
--- a/crates/lab/src/faults/schedule.rs
+++ b/crates/lab/src/faults/schedule.rs
@@ -11,7 +11,7 @@
 /// Time without faults at the end of a run, in milliseconds, so that every gap can close.
 const CALM_END_MS: u64 = 8_000;
 /// Shortest and longest time between the starts of two faults, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 3_000..9_000;
+const PAUSE_MS: std::ops::Range<u64> = 1_000..5_000;
 /// Shortest and longest time that a fault lasts, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 1_500..8_000;
 /// Chance that a fault starts while the one before lasts.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod probe;
 pub mod report;
 pub mod run;
-pub mod standin;
+mod standin;
 pub mod sweep;
 pub mod system;
 pub mod trace;
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -41,8 +41,10 @@
 const STRAGGLER_SHARE: f64 = 0.02;
 /// Factor by which a straggler takes longer.
 const STRAGGLER_FACTOR: u64 = 50;
-/// Work of a short request at speed 1, in microseconds.
-const WORK_US: std::ops::Range<u64> = 2_000..20_000;
+/// Work of a read or download at speed 1, in microseconds.
+const READ_US: std::ops::Range<u64> = 2_000..20_000;
+/// Work of a write at speed 1, in microseconds.
+const WRITE_US: std::ops::Range<u64> = 10_000..60_000;
 /// Size of a short answer, in bytes.
 const SHORT_BYTES: std::ops::Range<u64> = 64..4_096;
 /// Size of an ordinary download, in bytes.
@@ -137,7 +139,10 @@
         let urgent = service.usage == Use::Read && rng.random_bool(URGENT_SHARE);
         let straggler = !urgent && rng.random_bool(STRAGGLER_SHARE);
         let factor = if straggler { STRAGGLER_FACTOR } else { 1 };
-        let work_us = rng.random_range(WORK_US) * factor;
+        let work_us = match service.usage {
+            Use::Write => rng.random_range(WRITE_US) * factor,
+            Use::Read | Use::Download => rng.random_range(READ_US) * factor,
+        };
         let bytes = match service.usage {
             Use::Download if rng.random_bool(LARGE_SHARE) => rng.random_range(LARGE_BYTES),
             Use::Download => rng.random_range(DOWNLOAD_BYTES),
--- a/crates/lab/src/observe/mod.rs
+++ b/crates/lab/src/observe/mod.rs
@@ -1,6 +1,7 @@
 //! Samples that are taken while a run goes on: status, assignments, events, connections.
 
 pub mod event;
+pub mod record;
 pub mod socket;
 pub mod state;
 
@@ -13,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::client::Client;
-use crate::trace::{Assignment, Connections, Status};
+use crate::trace::{Assignment, Change, Connections, Status};
 
 /// Time between two samples of a host.
 const PERIOD: Duration = Duration::from_millis(300);
@@ -33,6 +34,8 @@
     pub assignments: Vec<Assignment>,
     /// Events of all hosts, in the order in which they were read.
     pub events: Vec<Event>,
+    /// Changes of the shards' records in the store.
+    pub changes: Vec<Change>,
     /// Connections of the backend servers.
     pub connections: Vec<Connections>,
 }
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -6,6 +6,7 @@
 
 use crate::deployment::Deployment;
 use crate::error::{Error, Result};
+use crate::probe;
 
 /// Hosts of a run when none are named.
 const HOSTS: usize = 12;
@@ -43,6 +44,8 @@
     pub report: Option<PathBuf>,
     /// Fault seeded into the routers.
     pub seeded_fault: Option<String>,
+    /// Number of probed keys.
+    pub probes: usize,
     /// Whether the files stay when no report directory is named.
     pub keep: bool,
 }
@@ -99,6 +102,7 @@
         "requests per second, or a factor such as 2x",
         "RATE",
     );
+    options.optopt("", "probes", "number of probed keys (default 96)", "N");
     options.optopt("", "report", "directory for the run's files", "DIR");
     options.optopt("", "seeded-fault", &SEEDED.join(", "), "NAME");
     options.optflag("", "keep", "keep the run's files");
@@ -193,6 +197,7 @@
         load: load(matches)?,
         report: matches.opt_str("report").map(PathBuf::from),
         seeded_fault: seeded(matches)?,
+        probes: number(matches, "probes", probe::KEYS)?,
         keep: matches.opt_present("keep"),
     })
 }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -136,6 +136,7 @@
     summary.config_reverts = add(config::reverts(&traces.samples.statuses, &traces.accepted));
     let moves = event::moves(&traces.samples.events);
     summary.lost_assignments = add(owner::lost(&traces.samples.assignments, &moves));
+    summary.lost_assignments += add(owner::overwritten(&traces.samples.changes));
     summary.over_slots = add(capacity::slots(&traces.works, config));
     summary.over_connections = add(capacity::connections(&traces.samples.connections, config));
     summary.cut_requests = add(leave::cut(&traces.attempts, &traces.entries.hosts));
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -82,7 +82,7 @@
 ) -> Result<report::Traces> {
     system.start(stop).await?;
     let caller = system.caller(&options.deployment);
-    let keys = system.probe_keys(&options.deployment);
+    let keys = system.probe_keys(&options.deployment, options.probes);
     system.await_serving(&caller, &keys).await?;
     let load_stop = stop.child_token();
     let gaps = Gaps::default();
--- a/crates/lab/src/system.rs
+++ b/crates/lab/src/system.rs
@@ -17,6 +17,7 @@
 use crate::load::balancer::{Balancer, Target};
 use crate::load::caller::Caller;
 use crate::observe::Samples;
+use crate::observe::record;
 use crate::observe::socket::{self, Listener};
 use crate::options::Run;
 use crate::platform::list::{List, Sight};
@@ -104,6 +105,8 @@
             self.fleet.await_ready(&self.client, host).await?;
             self.samples.watch(&self.client, host.admin_addr, stop);
         }
+        let addr = self.fleet.layout.store_addr;
+        record::watch(self.client.clone(), addr, self.samples.clone(), stop);
         socket::watch(self.listeners(), self.samples.clone(), stop);
         Ok(())
     }
@@ -144,11 +147,11 @@
 
     /// Returns the keys to probe.
     #[must_use]
-    pub fn probe_keys(&self, deployment: &Deployment) -> Vec<probe::Key> {
+    pub fn probe_keys(&self, deployment: &Deployment, count: usize) -> Vec<probe::Key> {
         let config = &self.fleet.layout.config;
         let service = deployment.service(Use::Read);
         service.map_or_else(Vec::new, |service| {
-            probe::keys(deployment, config, service, probe::KEYS)
+            probe::keys(deployment, config, service, count)
         })
     }
 
@@ -184,10 +187,11 @@
     /// Starts processes again that ended on their own, until cancelled.
     pub fn supervise(&self, journal: &Journal, stop: &CancellationToken) {
         let (fleet, journal) = (Arc::clone(&self.fleet), journal.clone());
-        tokio::spawn(
-            stop.clone()
-                .run_until_cancelled_owned(supervise(fleet, journal)),
-        );
+        tokio::spawn(stop.clone().run_until_cancelled_owned(supervise(
+            fleet,
+            journal,
+            stop.clone(),
+        )));
     }
 
     fn listeners(&self) -> Vec<Listener> {
@@ -201,13 +205,13 @@
     }
 }
 
-async fn supervise(fleet: Arc<Fleet>, journal: Journal) {
+async fn supervise(fleet: Arc<Fleet>, journal: Journal, stop: CancellationToken) {
     let mut ticks = tokio::time::interval(WATCH);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         for name in fleet.ended() {
-            if !journal.is_held(&name) {
+            if !journal.is_held(&name) && !stop.is_cancelled() {
                 revive(&fleet, &journal, name);
             }
         }
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 use tarragon_model::outcome::Outcome;
+use tarragon_model::record::Record;
 
 use crate::faults::Kind;
 
@@ -229,6 +230,19 @@
     pub owners: BTreeMap<u32, String>,
 }
 
+/// Change of a shard's record in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Time at which the change was read.
+    pub at_us: u64,
+    /// Shard.
+    pub shard: String,
+    /// Version of the object.
+    pub version: u64,
+    /// New value.
+    pub record: Record,
+}
+
 /// Event of the time line that moves key groups to another owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Move {
--- a/crates/lab/src/verdict/owner.rs
+++ b/crates/lab/src/verdict/owner.rs
@@ -6,7 +6,7 @@
 use tarragon_model::config::Config;
 
 use super::Breach;
-use crate::trace::{Assignment, Move, Stage, Work};
+use crate::trace::{Assignment, Change, Move, Stage, Work};
 
 /// Finds keys for which two backend servers ran work at the same time.
 ///
@@ -125,3 +125,57 @@
         evidence: smallvec![line(before, old), line(after, new)],
     }
 }
+
+/// Finds records in the store that replaced a later one.
+///
+/// A shard's epoch never goes back, its trio changes with the epoch only, and within an epoch the
+/// owners go by fence and index.
+#[must_use]
+pub fn overwritten(changes: &[Change]) -> Vec<Breach> {
+    let mut by_shard: BTreeMap<&str, Vec<&Change>> = BTreeMap::new();
+    for change in changes {
+        by_shard.entry(&change.shard).or_default().push(change);
+    }
+    let mut breaches = Vec::new();
+    for changes in by_shard.values_mut() {
+        changes.sort_by_key(|change| change.version);
+        let pairs = changes
+            .windows(2)
+            .filter(|pair| goes_back(pair[0], pair[1]));
+        breaches.extend(pairs.map(|pair| overwrite(pair[0], pair[1])));
+    }
+    breaches.sort_by_key(|breach| breach.at_us);
+    breaches
+}
+
+fn goes_back(before: &Change, after: &Change) -> bool {
+    let (old, new) = (&before.record, &after.record);
+    let order = |change: &Change| (change.record.fence, change.record.index);
+    let other_trio = old.epoch == new.epoch && old.trio != new.trio;
+    new.epoch < old.epoch || other_trio || order(after) < order(before)
+}
+
+fn overwrite(before: &Change, after: &Change) -> Breach {
+    let line = |change: &Change| {
+        let record = &change.record;
+        format!(
+            "version={} epoch={} fence={} index={} token={} leader={}",
+            change.version,
+            record.epoch,
+            record.fence,
+            record.index,
+            record.token,
+            record.trio.leader
+        )
+    };
+    Breach {
+        at_us: after.at_us,
+        promise: "lost_assignments",
+        key: after.shard.clone(),
+        parties: smallvec![
+            before.record.trio.leader.host.to_string(),
+            after.record.trio.leader.host.to_string()
+        ],
+        evidence: smallvec![line(before), line(after)],
+    }
+}
--- a/crates/lab/tests/run_verdict.rs
+++ b/crates/lab/tests/run_verdict.rs
@@ -7,7 +7,9 @@
 use tarragon_lab::verdict::{Breach, answer, capacity, config, effect, leave, outage, owner};
 use tarragon_model::config::{Config, Service, Shard};
 use tarragon_model::fence::Fence;
+use tarragon_model::host::Peer;
 use tarragon_model::outcome::Outcome;
+use tarragon_model::record::{Record, Trio};
 
 /// Names one case: its breaches must be of the promise, as many as stated.
 macro_rules! verdict {
@@ -32,6 +34,7 @@
         slots: 2,
         connections: 10,
         deadline_ms: 1_000,
+        orphan_ms: 0,
         classes: Vec::new(),
     }
 }
@@ -342,6 +345,47 @@
     1
 );
 
+fn change(version: u64, epoch: u64, index: u64, leader: &str) -> Change {
+    let peer = |name: &str| Peer::new(name.into(), 1);
+    Change {
+        at_us: version,
+        shard: "free.0".to_owned(),
+        version,
+        record: Record {
+            epoch,
+            fence: Fence::new(epoch, 0),
+            index,
+            token: String::new(),
+            trio: Trio {
+                leader: peer(leader),
+                first: peer("h8"),
+                second: peer("h9"),
+            },
+            owners: Vec::new(),
+            overrides: Vec::new(),
+        },
+    }
+}
+
+verdict!(
+    epoch_taken_twice_found,
+    owner::overwritten(&[change(1, 4, 0, "h1"), change(2, 4, 0, "h2")]),
+    "lost_assignments",
+    1
+);
+verdict!(
+    index_back_found,
+    owner::overwritten(&[change(1, 4, 7, "h1"), change(2, 4, 6, "h1")]),
+    "lost_assignments",
+    1
+);
+verdict!(
+    next_epoch_allowed,
+    owner::overwritten(&[change(2, 5, 0, "h2"), change(1, 4, 7, "h1")]),
+    "lost_assignments",
+    0
+);
+
 fn gap(millis: u64, covered: bool) -> Vec<Breach> {
     let gap = Gap {
         service: "free".to_owned(),
