Keep pending effects over a change of trio; count suspended time

Cause: review against the lease crate's contract: entry numbers go on while the process stays leader, so clearing effects on a new epoch would have left moves and dispatches pending for good; std's clock stops while a machine is suspended. Ruled out: nothing, both read from the code. Change: effects stay; the clock is CLOCK_BOOTTIME; a suspect that ran alone when the leader was lost is blamed.

--- a/crates/node/src/engine/crash.rs
+++ b/crates/node/src/engine/crash.rs
@@ -83,6 +83,19 @@
 }
 
 impl Engine {
+    /// Blames the suspect that ran alone under an earlier leader: whether it crashed its backend
+    /// server cannot be known any more.
+    pub(super) fn settle_suspect(now: Now, log: &mut Log<'_>) {
+        if let Some(fingerprint) = log.state().quarantine.running() {
+            let in_flight = vec![fingerprint];
+            let entry = quarantine::Entry::Crashed {
+                in_flight,
+                at: now.unix_ms,
+            };
+            log.append(now.at, Entry::Quarantine(entry));
+        }
+    }
+
     /// Holds a request whose connection broke until it is known whether the server crashed.
     pub(super) fn put_on_trial(
         &mut self,
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -185,6 +185,7 @@
             preset,
         };
         log.append(now.at, Entry::Ledger(ledger::Entry::Reign));
+        Self::settle_suspect(now, log);
         engine.adopt_backends(now, log);
         engine.accept_config(now, log);
         engine.found(now, log);
@@ -194,7 +195,6 @@
     /// Goes on under a new reign of the same process.
     pub fn renew(&mut self, fence: Fence) {
         self.fence = fence;
-        self.effects.clear();
         for health in &mut self.health {
             health.fenced(self.began);
         }
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -2,13 +2,16 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use tarragon_model::time::Instant;
 use tarragon_node::input::Now;
 
 /// Monotonic clock with an origin of its own.
+///
+/// It goes on while the machine is suspended, so that a lease does not outlive a suspension.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: std::time::Instant,
+    origin: Duration,
 }
 
 /// Lead of the first instant over the origin, so that earlier instants can be expressed.
@@ -19,14 +22,14 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            origin: std::time::Instant::now(),
+            origin: boot_time(),
         }
     }
 
     /// Returns the monotonic time.
     #[must_use]
     pub fn at(&self) -> Instant {
-        Instant::ZERO + ORIGIN_LEAD + self.origin.elapsed()
+        Instant::ZERO + ORIGIN_LEAD + boot_time().saturating_sub(self.origin)
     }
 
     /// Returns the monotonic and the wall-clock time.
@@ -47,3 +50,11 @@
         .unwrap_or_default();
     u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
+
+/// Returns the time since the machine was started, suspensions included.
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
