Preempt within bounded classes; wait longer before levelling small gaps

A key with two long requests in a row was taken for long and its short requests waited in the long lane.

Eligibility for preemption is judged as if the run were gone; three long requests in a row make a key long; gaps below 1.25 must last six seconds.

--- a/crates/policy/src/duration.rs
+++ b/crates/policy/src/duration.rs
@@ -26,8 +26,8 @@
 const MIN_CLASS_SAMPLES: u32 = 16;
 /// Keys whose work was long lately that are remembered at most.
 const LONG_KEYS: usize = 1_024;
-/// Long requests in a row that make a key count as long; one alone may be a straggler.
-const LONG_IN_A_ROW: u32 = 2;
+/// Long requests in a row that make a key count as long; fewer may be stragglers.
+const LONG_IN_A_ROW: u32 = 3;
 /// Estimate of the work of a class of which nothing is known.
 pub const UNKNOWN: Duration = Duration::from_millis(10);
 /// Weight of a new sample in the mean, once there are many.
@@ -70,8 +70,9 @@
 /// for _ in 0..50 {
 ///     learner.observe(0, small, Duration::from_millis(2));
 /// }
-/// learner.observe(0, large, Duration::from_millis(100));
-/// learner.observe(0, large, Duration::from_millis(100));
+/// for _ in 0..3 {
+///     learner.observe(0, large, Duration::from_millis(100));
+/// }
 /// assert!(learner.estimate(0, large).long);
 /// assert!(!learner.estimate(0, small).long);
 /// ```
--- a/crates/policy/src/placement/level.rs
+++ b/crates/policy/src/placement/level.rs
@@ -22,13 +22,17 @@
 pub(super) const NAME: &str = "level";
 
 /// Load over fair share above which levelling starts.
-const START_RATIO: f64 = 1.10;
+const START_RATIO: f64 = 1.12;
 /// Load over fair share below which levelling ends.
 const STOP_RATIO: f64 = 1.04;
 /// Standard errors that a ratio must be off before it counts.
 const START_ERRORS: f64 = 3.0;
 /// Time that the load must have been uneven before levelling starts.
-const START_AFTER: Duration = Duration::from_millis(1_500);
+const START_AFTER: Duration = Duration::from_secs(6);
+/// Load over fair share above which levelling starts sooner.
+const STEEP_RATIO: f64 = 1.25;
+/// Time that the load must have been so uneven.
+const STEEP_AFTER: Duration = Duration::from_millis(1_500);
 /// Time between two moves that level the load.
 const MOVE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which something that moved stays.
@@ -242,7 +246,9 @@
             return false;
         }
         let since = *self.uneven_since.get_or_insert(now);
-        self.levelling = now.since(since) >= START_AFTER;
+        let is_steep = below || busiest.ratio > STEEP_RATIO;
+        let wait = if is_steep { STEEP_AFTER } else { START_AFTER };
+        self.levelling = now.since(since) >= wait;
         self.levelling
     }
 
--- a/crates/policy/src/scheduler/outlook.rs
+++ b/crates/policy/src/scheduler/outlook.rs
@@ -5,7 +5,7 @@
 use tarragon_model::time::Instant;
 
 use super::queue::{Kind, Queue};
-use super::server::{Server, float};
+use super::server::{Run, Server, float};
 use super::{Place, Request, Scheduler};
 use crate::admission::{Backlog, Offer};
 
@@ -77,6 +77,13 @@
         most.is_none_or(|most| server.runs_of_class(kind.class) < most)
     }
 
+    /// Tells whether a class had room if a run were given up.
+    pub(super) fn class_fits_without(&self, server: &Server, kind: Kind, run: &Run) -> bool {
+        let most = self.class_slots(kind.class);
+        let freed = usize::from(run.class == kind.class);
+        most.is_none_or(|most| server.runs_of_class(kind.class) < most + freed)
+    }
+
     /// Returns the slots of a server that a class may use, if they are bounded.
     fn class_slots(&self, class: u8) -> Option<usize> {
         if !self.admission.bounds_classes() {
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -84,19 +84,19 @@
         let Some(server) = self.server(backend) else {
             return false;
         };
-        self.breaks_reserve(now, backend, server)
+        self.breaks_reserve(now, backend, server, run)
             || self.blocks_short(now, backend, server, run)
             || self.is_worth_less(now, server, run)
     }
 
     /// Tells whether long work holds reserved slots while short work waits for them.
-    fn breaks_reserve(&self, now: Instant, backend: u16, server: &Server) -> bool {
+    fn breaks_reserve(&self, now: Instant, backend: u16, server: &Server, run: &Run) -> bool {
         let limit = server.nominal_limit(now, self.slots);
         let reserve = self.reserve(now, backend, server);
         if server.long_runs(now) + reserve <= limit {
             return false;
         }
-        let waits = |kind: Kind| !kind.long && self.is_eligible(now, backend, kind);
+        let waits = |kind: Kind| self.is_short_without(server, kind, run);
         server.queue.first(now, waits).is_some() || self.common.first(now, waits).is_some()
     }
 
@@ -107,7 +107,7 @@
         if server.long_runs(now) * 2 < limit {
             return false;
         }
-        let waits = |kind: Kind| !kind.long && self.is_eligible(now, backend, kind);
+        let waits = |kind: Kind| self.is_short_without(server, kind, run);
         let queues = [&server.queue, &self.common];
         let first = queues
             .iter()
@@ -119,6 +119,12 @@
         })
     }
 
+    /// Tells whether short work of a kind could take the slot of a run.
+    fn is_short_without(&self, server: &Server, kind: Kind, run: &Run) -> bool {
+        let is_blocked = kind.alone && self.running_alone > 0;
+        !kind.long && !is_blocked && self.class_fits_without(server, kind, run)
+    }
+
     /// Returns how long a waiting request typically runs on a server.
     fn typical_time(&self, id: u64, backend: u16) -> Duration {
         let request = self.waiting.get(&id).map(|waiting| &waiting.request);
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -472,7 +472,9 @@
 /// Fills a server's slots, the first `long` of them with work that does not end, lets a short
 /// request wait and returns what is given up.
 fn preempted(long: u64, may_cancel: bool) -> Vec<u64> {
-    let mut scheduler = Scheduler::new(&Settings::new(6, 110));
+    let mut settings = Settings::new(6, 110);
+    settings.classes = vec![class("short", 6)];
+    let mut scheduler = Scheduler::new(&settings);
     let mut actions = Vec::new();
     let mut now = Instant::from_millis(1);
     scheduler.set_backend(now, 0, State::Live);
