--- /dev/null
+++ b/crates/policy/tests/dispatch.rs
@@ -0,0 +1,276 @@
+//! Order, refusal and limits of the scheduler, case by case.
+
+use std::time::Duration;
+
+use tarragon_model::config::Class;
+use tarragon_model::key::Hash;
+use tarragon_model::outcome::Reason;
+use tarragon_model::time::Instant;
+use tarragon_policy::admission;
+use tarragon_policy::scheduler::{Action, Ending, Request, Scheduler, Settings, Target};
+use tarragon_policy::standing::State;
+
+const GROUPS: u32 = 8;
+const DEADLINE: Duration = Duration::from_millis(200);
+
+fn class(name: &str, max_slots: u16) -> Class {
+    Class {
+        name: name.to_owned(),
+        prefix: String::new(),
+        weight: 1,
+        max_slots,
+    }
+}
+
+fn request(id: u64, now: Instant, weight: u32) -> Request {
+    let key = Hash(id << 40);
+    Request {
+        id,
+        target: Target::Owner(0),
+        key,
+        group: key.group(GROUPS),
+        class: 0,
+        weight,
+        deadline: now + DEADLINE,
+        alone: false,
+        retry: false,
+    }
+}
+
+/// Sends more than one server can do and returns the refusals after the arrival.
+fn crowd(admission: &str) -> (usize, usize) {
+    let mut settings = Settings::new(1, 110);
+    admission.clone_into(&mut settings.admission);
+    let mut scheduler = Scheduler::new(&settings);
+    scheduler.set_backend(Instant::ZERO, 0, State::Live);
+    let (mut early, mut late) = (0, 0);
+    let mut ends: Option<(Instant, u64)> = None;
+    let mut actions = Vec::new();
+    for step in 1..4_000_u64 {
+        let now = Instant::from_millis(step);
+        if let Some((_, id)) = ends.filter(|(at, _)| *at <= now) {
+            scheduler.complete(now, id, Ending::Served);
+            ends = None;
+        }
+        scheduler.submit(now, request(step, now, 1));
+        actions.clear();
+        scheduler.poll(now, &mut actions);
+        for action in &actions {
+            match action {
+                Action::Start { id, .. } => ends = Some((now + Duration::from_millis(10), *id)),
+                Action::Refuse { id, .. } if *id == step => early += 1,
+                Action::Refuse { .. } => late += 1,
+            }
+        }
+    }
+    (early, late)
+}
+
+#[test]
+fn refuses_on_arrival_instead_of_after_a_wait() {
+    let (early, late) = crowd(admission::DEFAULT);
+    assert!(early > 3_000, "{early}");
+    assert!(late * 20 < early, "{late} late, {early} early");
+    let (early, late) = crowd(admission::BASELINE);
+    assert_eq!(early, 0);
+    assert!(late > 3_000, "{late}");
+}
+
+#[test]
+fn low_weight_is_decided_while_high_weight_keeps_coming() {
+    let mut scheduler = Scheduler::new(&Settings::new(1, 110));
+    scheduler.set_backend(Instant::ZERO, 0, State::Live);
+    let start = Instant::from_millis(1);
+    scheduler.submit(start, request(1, start, 9));
+    scheduler.submit(start, request(2, start, 1));
+    let mut actions = Vec::new();
+    let mut running = None;
+    for step in 1..300_u64 {
+        let now = Instant::from_millis(step);
+        if let Some(id) = running.take() {
+            scheduler.complete(now, id, Ending::Served);
+        }
+        scheduler.submit(now, request(100 + step, now, 9));
+        scheduler.poll(now, &mut actions);
+        running = actions.iter().rev().find_map(|action| match action {
+            Action::Start { id, .. } => Some(*id),
+            Action::Refuse { .. } => None,
+        });
+    }
+    let decided = actions.iter().any(|action| match action {
+        Action::Start { id, .. } | Action::Refuse { id, .. } => *id == 2,
+    });
+    assert!(decided);
+}
+
+#[test]
+fn preset_refuses_low_weight() {
+    let mut settings = Settings::new(6, 110);
+    settings.preset.min_weight = 5;
+    let mut scheduler = Scheduler::new(&settings);
+    scheduler.set_backend(Instant::ZERO, 0, State::Live);
+    scheduler.submit(Instant::ZERO, request(1, Instant::ZERO, 4));
+    let mut actions = Vec::new();
+    scheduler.poll(Instant::ZERO, &mut actions);
+    assert_eq!(
+        actions,
+        [Action::Refuse {
+            id: 1,
+            reason: Reason::Preset
+        }]
+    );
+}
+
+#[test]
+fn cold_server_takes_load_up_by_steps() {
+    let mut scheduler = Scheduler::new(&Settings::new(6, 110));
+    scheduler.set_backend(Instant::ZERO, 0, State::Cold);
+    let mut limits: Vec<usize> = Vec::new();
+    let mut now = Instant::ZERO;
+    scheduler.submit(now, request(1, now + Duration::from_mins(1), 1));
+    for id in 2..20 {
+        scheduler.submit(now, request(id, now + Duration::from_mins(1), 1));
+    }
+    let mut actions = Vec::new();
+    while limits.last() != Some(&6) {
+        scheduler.poll(now, &mut actions);
+        limits.push(scheduler.running(0));
+        now = scheduler.next_wakeup(now).unwrap();
+    }
+    assert_eq!(limits, [1, 2, 3, 4, 5, 6]);
+}
+
+#[test]
+fn shedding_server_is_backed_off_and_recovers() {
+    let mut scheduler = Scheduler::new(&Settings::new(6, 110));
+    scheduler.set_backend(Instant::ZERO, 0, State::Live);
+    let mut actions = Vec::new();
+    let now = Instant::ZERO;
+    for id in 1..=6 {
+        scheduler.submit(now, request(id, now, 1));
+    }
+    scheduler.poll(now, &mut actions);
+    for id in 1..=6 {
+        scheduler.complete(now, id, Ending::Shed);
+    }
+    assert_eq!(scheduler.limit(now, 0), 0);
+    let mut now = now + Duration::from_secs(1);
+    assert_eq!(scheduler.limit(now, 0), 1);
+    for id in 10..40 {
+        now = now + Duration::from_millis(10);
+        scheduler.submit(now, request(id, now, 1));
+        scheduler.poll(now, &mut actions);
+        scheduler.complete(now + Duration::from_millis(1), id, Ending::Served);
+    }
+    assert_eq!(scheduler.limit(now, 0), 6);
+}
+
+#[test]
+fn failing_server_is_only_probed() {
+    let mut scheduler = Scheduler::new(&Settings::new(6, 110));
+    scheduler.set_backend(Instant::ZERO, 0, State::Live);
+    let mut starts = 0;
+    let mut actions = Vec::new();
+    for step in 1..2_000 {
+        let now = Instant::from_millis(step);
+        scheduler.submit(now, request(step, now, 1));
+        actions.clear();
+        scheduler.poll(now, &mut actions);
+        for action in &actions {
+            if let Action::Start { id, .. } = action {
+                starts += 1;
+                scheduler.complete(now, *id, Ending::Failed);
+            }
+        }
+    }
+    assert!((3..20).contains(&starts), "{starts}");
+}
+
+/// Fills a server's slots, the first `long` of them with work that does not end, lets a short
+/// request wait and returns what is given up.
+fn preempted(long: u64, may_cancel: bool) -> Vec<u64> {
+    let mut settings = Settings::new(6, 110);
+    settings.classes = vec![class("short", 6)];
+    let mut scheduler = Scheduler::new(&settings);
+    let mut actions = Vec::new();
+    let mut now = Instant::from_millis(1);
+    scheduler.set_backend(now, 0, State::Live);
+    let mut submit = |scheduler: &mut Scheduler, now: Instant, id: u64| {
+        let mut request = request(id, now, 1);
+        request.deadline = now + Duration::from_secs(5);
+        scheduler.submit(now, request);
+        scheduler.poll(now, &mut actions);
+    };
+    for id in 100..150 {
+        submit(&mut scheduler, now, id);
+        now = now + Duration::from_millis(10);
+        scheduler.complete(now, id, Ending::Served);
+    }
+    for id in 0..long {
+        submit(&mut scheduler, now, id);
+    }
+    now = now + Duration::from_millis(100);
+    for id in long..7 {
+        submit(&mut scheduler, now, id);
+    }
+    now = now + Duration::from_millis(20);
+    let chosen = scheduler.preempt(now, |_| may_cancel);
+    assert!(scheduler.preempt(now, |_| false).is_empty());
+    chosen.to_vec()
+}
+
+#[test]
+fn long_runs_are_given_up_for_short_work_that_waits() {
+    assert_eq!(preempted(2, true), []);
+    assert_eq!(preempted(6, true).len(), 1);
+    assert_eq!(preempted(6, false), []);
+}
+
+#[test]
+fn work_that_is_known_to_be_long_leaves_slots_free() {
+    let mut settings = Settings::new(6, 110);
+    settings.classes = vec![class("short", 6), class("long", 6)];
+    let mut scheduler = Scheduler::new(&settings);
+    scheduler.set_backend(Instant::ZERO, 0, State::Live);
+    let mut actions = Vec::new();
+    let mut now = Instant::ZERO;
+    for id in 1..100 {
+        let mut learned = request(id, now, 1);
+        learned.class = u8::from(id % 2 == 0);
+        let time = if learned.class == 0 { 2 } else { 100 };
+        scheduler.submit(now, learned);
+        scheduler.poll(now, &mut actions);
+        now = now + Duration::from_millis(time);
+        scheduler.complete(now, id, Ending::Served);
+    }
+    for id in 100..110 {
+        let mut long = request(id, now, 1);
+        long.class = 1;
+        long.deadline = now + Duration::from_secs(9);
+        scheduler.submit(now, long);
+    }
+    scheduler.poll(now, &mut actions);
+    assert_eq!(scheduler.running(0), 4);
+    scheduler.submit(now, request(200, now, 1));
+    scheduler.poll(now, &mut actions);
+    assert_eq!(scheduler.running(0), 5);
+}
+
+#[test]
+fn preset_without_waiting_still_takes_free_slots() {
+    let mut settings = Settings::new(1, 110);
+    settings.preset.wait_percent = 0;
+    let mut scheduler = Scheduler::new(&settings);
+    let now = Instant::from_millis(1);
+    scheduler.set_backend(now, 0, State::Live);
+    scheduler.submit(now, request(1, now, 1));
+    scheduler.submit(now, request(2, now, 1));
+    let mut actions = Vec::new();
+    scheduler.poll(now, &mut actions);
+    scheduler.poll(now + Duration::from_millis(1), &mut actions);
+    let started = Action::Start { id: 1, backend: 0 };
+    let refused = |action: &Action| matches!(action, Action::Refuse { id: 2, .. });
+    assert!(actions.contains(&started));
+    assert!(actions.iter().any(refused));
+    assert_eq!(actions.len(), 2);
+}
