--- a/crates/policy/examples/policies/drive.rs
+++ b/crates/policy/examples/policies/drive.rs
@@ -12,93 +12,22 @@
 use tarragon_model::key::{Group, Hash};
 use tarragon_model::time::Instant;
 use tarragon_policy::budget::{Budget, Cap};
-use tarragon_policy::placement::{self, Move, Override, Planner, Subject, View};
+use tarragon_policy::placement::{self, Move, Override, Planner};
 use tarragon_policy::scheduler::{Action, Ending, Request, Scheduler, Settings, Target};
 use tarragon_policy::standing::State;
 
-use crate::load::{Arrival, Load, Source};
+use crate::load::{Arrival, Source};
+use crate::spec::{Change, Done, Outcome, Record, Retry, Spec};
+
+mod moves;
+
+use moves::concerns;
 
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a failed attempt is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
-/// Change of a backend server.
-#[derive(Clone, Copy, Debug)]
-pub enum Change {
-    State(u16, State),
-    Speed(u16, f64),
-    /// Part of the requests that the server sheds.
-    Shed(u16, f64),
-    /// Part of the requests that fail after their work was done.
-    Fail(u16, f64),
-}
-
-/// Limit on retries.
-#[derive(Clone, Copy, Debug)]
-pub enum Retry {
-    Never,
-    Cap(u32),
-    Budget(u8),
-}
-
-/// One run.
-#[derive(Clone, Debug)]
-pub struct Spec {
-    pub seed: u64,
-    pub speeds: Vec<f64>,
-    pub states: Vec<State>,
-    pub groups: u32,
-    pub keyed: bool,
-    /// Whether runs that the scheduler gives up are cancelled.
-    pub preempts: bool,
-    pub load: Load,
-    pub slots: u16,
-    pub admission: String,
-    pub choice: String,
-    pub planner: String,
-    pub changes: Vec<(Instant, Change)>,
-    pub retry: Retry,
-    pub end: Instant,
-}
-
-/// Fate of one arrival.
-#[derive(Clone, Copy, Debug)]
-pub struct Record {
-    pub class: u8,
-    pub straggler: bool,
-    pub work: Duration,
-    pub arrived: Instant,
-    /// Time of the first start or of the refusal.
-    pub decided: Instant,
-    pub refused: bool,
-    /// Starts on a backend server.
-    pub attempts: u32,
-    pub answered: Option<Instant>,
-}
-
-/// Work done by one server in one request.
-#[derive(Clone, Copy, Debug)]
-pub struct Done {
-    pub at: Instant,
-    pub backend: u16,
-    /// Work at speed 1, in seconds.
-    pub work: f64,
-}
-
-/// What a run showed.
-pub struct Outcome {
-    pub records: Vec<Record>,
-    pub done: Vec<Done>,
-    pub moves: Vec<(Instant, Move)>,
-    /// Part of the slot time that was idle while work waited for it, once the load ran.
-    pub idle: f64,
-    /// Runs that were given up for waiting work.
-    pub preempted: u64,
-    pub violations: u64,
-    pub learned: Vec<f64>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive,
@@ -499,92 +428,4 @@
             Change::Fail(backend, part) => self.fail[usize::from(backend)] = part,
         }
     }
-
-    fn plan(&mut self) {
-        self.events
-            .push(Reverse((self.now + PLAN_INTERVAL, Event::Plan)));
-        if !self.spec.keyed {
-            return;
-        }
-        let backends: Vec<placement::Backend> = (0..)
-            .zip(&self.states)
-            .map(|(index, state)| placement::Backend {
-                speed: self.scheduler.capacity(index),
-                state: *state,
-            })
-            .collect();
-        let view = View {
-            first: Group(0),
-            owners: &self.owners,
-            overrides: &self.overrides,
-            backends: &backends,
-            rebalance: true,
-        };
-        for change in self.planner.plan(self.now, &view) {
-            self.begin_move(change);
-        }
-    }
-
-    fn begin_move(&mut self, change: Move) {
-        if self
-            .moving
-            .iter()
-            .any(|moving| moving.change.what == change.what)
-        {
-            return;
-        }
-        self.outcome.moves.push((self.now, change));
-        let withdrawn = match change.what {
-            Subject::Group(group) => self.scheduler.withdraw_group(self.now, group),
-            Subject::Key(key) => self.scheduler.withdraw_key(self.now, key),
-        };
-        let held = Vec::new();
-        self.moving.push(Moving { change, held });
-        for request in withdrawn {
-            self.offer(request);
-        }
-    }
-
-    /// Completes the moves of which nothing runs any more.
-    fn finish_moves(&mut self) {
-        let scheduler = &self.scheduler;
-        let (finished, moving): (Vec<Moving>, Vec<Moving>) = std::mem::take(&mut self.moving)
-            .into_iter()
-            .partition(|moving| match moving.change.what {
-                Subject::Group(group) => scheduler.running_of_at(group, moving.change.from) == 0,
-                Subject::Key(key) => scheduler.running_of_key(key) == 0,
-            });
-        self.moving = moving;
-        for done in finished {
-            self.apply(&done.change);
-            for request in done.held {
-                self.offer(request);
-            }
-        }
-    }
-
-    fn apply(&mut self, change: &Move) {
-        match change.what {
-            Subject::Group(group) => self.owners[group.0 as usize] = change.to,
-            Subject::Key(key) => {
-                let group = key.group(self.spec.groups);
-                self.overrides.retain(|entry| entry.key != key);
-                if self.owners[group.0 as usize] != change.to {
-                    self.overrides.push(Override {
-                        key,
-                        group,
-                        owner: change.to,
-                    });
-                }
-            }
-        }
-    }
-}
-
-/// Tells whether a move holds a request whose key may have an owner of its own.
-fn concerns(what: &Subject, request: &Request, own: bool) -> bool {
-    match what {
-        Subject::Group(moved) => *moved == request.group && !own,
-        Subject::Key(moved) => *moved == request.key,
-    }
 }
--- a/crates/policy/examples/policies/main.rs
+++ b/crates/policy/examples/policies/main.rs
@@ -11,6 +11,7 @@
 mod load;
 mod measure;
 mod report;
+mod spec;
 
 use std::process::ExitCode;
 
--- a/crates/policy/examples/policies/measure.rs
+++ b/crates/policy/examples/policies/measure.rs
@@ -4,8 +4,8 @@
 
 use tarragon_model::time::Instant;
 
-use crate::drive::{Outcome, Record, Spec};
 use crate::load::Class;
+use crate::spec::{Outcome, Record, Spec};
 
 /// Returns a quantile, from 0 to 1, in milliseconds; zero without samples.
 pub fn quantile(mut samples: Vec<Duration>, part: f64) -> f64 {
