--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -6,7 +6,7 @@
 //! | `host-freeze` | host | SIGSTOP, SIGCONT after `for_ms` |
 //! | `host-drain` | host | SIGTERM, restarted `for_ms` after its end |
 //! | `roll-hosts` | - | all hosts replaced one by one |
-//! | `link-cut` | two of host, backend server | nothing passes between them |
+//! | `link-cut` | two of host, backend server, `store` | nothing passes between them |
 //! | `link-cut-forward` | two | nothing passes from the first to the second |
 //! | `link-cut-back` | two | nothing passes from the second to the first |
 //! | `partition` | hosts, region or failure domain | cut off from all other hosts |
@@ -84,7 +84,7 @@
     Host,
     /// One host, or none for the program to choose.
     AnyHost,
-    /// Two ends of a link, each a host or backend server.
+    /// Two ends of a link: a host, and a host, a backend server or the store.
     Link,
     /// A list of hosts, one region or one failure domain.
     Group,
@@ -321,7 +321,9 @@
                 (optional(target, &presets), "one preset or no target")
             }
             Scope::Link => {
-                let ends = |name| known(&self.hosts, name) || known(&self.backends, name);
+                let ends = |name: &String| {
+                    name == STORE || known(&self.hosts, name) || known(&self.backends, name)
+                };
                 let has_host = target.iter().any(|name| known(&self.hosts, name));
                 let distinct = target.len() == 2 && target[0] != target[1];
                 (distinct && has_host && target.iter().all(ends), LINK)
@@ -353,7 +355,9 @@
     }
 }
 
-const LINK: &str = "two different hosts, or one host and one backend server";
+/// Name of the store as the end of a link.
+const STORE: &str = "store";
+const LINK: &str = "two different hosts, or one host and a backend server or `store`";
 const GROUP: &str = "a list of hosts, one region or one failure domain";
 
 fn one(target: &[String], names: &[String]) -> bool {
--- a/crates/lab/tests/run_faults.rs
+++ b/crates/lab/tests/run_faults.rs
@@ -97,6 +97,12 @@
 );
 mistake!(open_list, "[{\"at_ms\": 1}", 1, 1, "");
 
+#[test]
+fn store_ends_a_link() {
+    let text = r#"[{"at_ms":5,"kind":"link-cut-back","target":["h1","store"],"for_ms":9}]"#;
+    assert_eq!(file::parse(text, &field()).unwrap()[0].target[1], "store");
+}
+
 #[test]
 fn every_kind_parses() {
     for (kind, name, scope) in Kind::ALL {
