--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -35,6 +35,7 @@
 pub mod inject;
 pub mod journal;
 pub mod poison;
+pub mod provoke;
 pub mod schedule;
 
 use std::fmt;
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -6,6 +6,7 @@
 
 use crate::deployment::Deployment;
 use crate::error::{Error, Result};
+use crate::faults::provoke;
 use crate::probe;
 
 /// Hosts of a run when none are named.
@@ -57,6 +58,8 @@
     Random,
     /// No faults.
     None,
+    /// Schedule that provokes a seeded fault.
+    Provoke(String),
     /// Fault file.
     File(PathBuf),
 }
@@ -91,7 +94,7 @@
     options.optopt(
         "",
         "faults",
-        "fault file; `none` for no faults; default: random",
+        "fault file; `none`; default: random, or made for the seeded fault",
         "FILE",
     );
     options.optopt("", "hosts", "number of hosts (default 12)", "N");
@@ -204,7 +207,10 @@
 
 fn faults(matches: &Matches) -> Faults {
     match matches.opt_str("faults").as_deref() {
-        None => Faults::Random,
+        None => match matches.opt_str("seeded-fault") {
+            Some(name) => Faults::Provoke(name),
+            None => Faults::Random,
+        },
         Some("none") => Faults::None,
         Some(path) => Faults::File(PathBuf::from(path)),
     }
@@ -212,7 +218,13 @@
 
 fn load(matches: &Matches) -> Result<Load> {
     let Some(text) = matches.opt_str("load") else {
-        return Ok(Load::Factor(1.0));
+        let seeded = matches.opt_str("seeded-fault");
+        let needs_work = seeded.is_some_and(|name| name != "blind-second-write");
+        return Ok(Load::Factor(if needs_work {
+            provoke::LOAD_FACTOR
+        } else {
+            1.0
+        }));
     };
     let factor = text.strip_suffix('x');
     let value = factor.unwrap_or(&text).parse::<f64>().ok();
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -10,8 +10,9 @@
 use crate::error::{Error, Result, io};
 use crate::faults::inject::Injector;
 use crate::faults::journal::Journal;
-use crate::faults::{Fault, Field, file, schedule};
+use crate::faults::{Fault, file, provoke, schedule};
 use crate::fleet::Fleet;
+use crate::fleet::layout::Layout;
 use crate::load::{self, Generator};
 use crate::options::{Faults, Load, Run};
 use crate::probe::{self, Gaps};
@@ -30,7 +31,7 @@
 pub async fn run(options: &Run, stop: &CancellationToken) -> Result<Report> {
     let dir = directory(options);
     let system = System::plan(options, &dir)?;
-    let faults = faults(options, &system.fleet.layout.field())?;
+    let faults = faults(options, &system.fleet.layout)?;
     let stop = stop.child_token();
     let run = execute(options, &system, faults, &stop);
     let result = stop.run_until_cancelled(run).await;
@@ -61,9 +62,14 @@
     parent.join(name)
 }
 
-fn faults(options: &Run, field: &Field) -> Result<Vec<Fault>> {
+fn faults(options: &Run, layout: &Layout) -> Result<Vec<Fault>> {
+    let field = &layout.field();
     match &options.faults {
         Faults::None => Ok(Vec::new()),
+        Faults::Provoke(name) => {
+            let (deployment, config) = (&options.deployment, &layout.config);
+            Ok(provoke::schedule(name, deployment, config, field))
+        }
         Faults::Random => Ok(schedule::draw(options.seed, options.seconds, field)),
         Faults::File(path) => {
             let name = path.display();
