Let a poison request take down two backend servers at most

Cause: (1) the crash was judged on the connections that had been reported broken; what else ran there was missed, so the poison request could go free; (2) while the crash was being confirmed, the next suspect took the place of the one that ran alone, and the crash was blamed on nobody. Ruled out: quarantine crate (its property test holds), lost entries. Change: everything that ran on the backend server is judged together; a suspect waits while another runs or is being judged.

--- a/crates/node/src/engine/crash.rs
+++ b/crates/node/src/engine/crash.rs
@@ -157,7 +157,8 @@
         let Some(trial) = self.trials.remove(&backend) else {
             return;
         };
-        let in_flight = trial.fingerprints.to_vec();
+        let mut in_flight = trial.fingerprints.to_vec();
+        in_flight.extend(self.judge_running(backend));
         let entry = quarantine::Entry::Crashed {
             in_flight,
             at: now.unix_ms,
@@ -172,6 +173,19 @@
         self.release_trial(now, &trial, out, log);
     }
 
+    /// Returns the fingerprints of what ran when the backend server crashed and has not been heard
+    /// of yet, and marks it, so that its broken connections start no second trial.
+    fn judge_running(&mut self, backend: u16) -> Vec<u64> {
+        let running = self.flights.values_mut();
+        running
+            .filter(|flight| flight.backend == backend && flight.is_out())
+            .map(|flight| {
+                flight.history.judged = true;
+                flight.submission.fingerprint
+            })
+            .collect()
+    }
+
     fn release_trial(&mut self, now: Now, trial: &Trial, out: &mut Vec<Output>, log: &mut Log<'_>) {
         for id in &trial.flights {
             self.again(now, *id, out, log);
--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -139,6 +139,10 @@
             self.refuse(id, Reason::Quarantined, out);
             return;
         }
+        if must_wait(&submission, log) {
+            self.hold(id);
+            return;
+        }
         let Some(target) = self.target(&submission) else {
             self.hold(id);
             return;
@@ -248,6 +252,11 @@
             self.redirect(now, id, other);
             return;
         }
+        if must_wait(&submission, log) {
+            self.scheduler.complete(now.at, id, SlotEnding::Cancelled);
+            self.hold(id);
+            return;
+        }
         self.spread.enter(submission.fingerprint, backend);
         if self.service.keyed {
             if self.occupancy.is_elsewhere(submission.key, backend) {
@@ -342,6 +351,7 @@
             return;
         };
         flight.phase = Phase::Sent;
+        flight.history.judged = false;
         flight.sent = now.at;
         let order = Order {
             shard: self.shard.clone(),
@@ -389,3 +399,14 @@
         log.append(now.at, Entry::Quarantine(entry));
     }
 }
+
+/// Tells whether a suspect has to wait because another one runs, or ran on a backend server that
+/// may have crashed: with two at a time a crash could not be told from the other's.
+fn must_wait(submission: &Submission, log: &Log<'_>) -> bool {
+    let quarantine = &log.state().quarantine;
+    let suspect = quarantine.check(submission.fingerprint) == Suspicion::Alone;
+    suspect
+        && quarantine
+            .running()
+            .is_some_and(|other| other != submission.fingerprint)
+}
--- a/crates/node/src/engine/results.rs
+++ b/crates/node/src/engine/results.rs
@@ -192,13 +192,14 @@
         }
         let over = matches!(ending, Ending::Cut | Ending::Abandoned);
         let resend = submission.idempotent || self.flaws.resend_after_first_byte;
-        if failed {
+        let judged = flight.history.judged;
+        if failed && !judged {
             let waiting = (!over && resend).then_some(id);
             self.put_on_trial(now, flight.backend, submission.fingerprint, waiting);
         }
         if over || !resend {
             self.end_unresolved(now, id, flight, out, log);
-        } else if failed {
+        } else if failed && !judged {
             if let Some(flight) = self.flights.get_mut(&id) {
                 flight.phase = Phase::Judging;
             }
--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -28,6 +28,8 @@
     pub retry: bool,
     /// Whether one of them may have run.
     pub maybe_run: bool,
+    /// Whether the backend server is known to have crashed under the present one.
+    pub judged: bool,
 }
 
 /// A request and its progress.
