--- a/crates/policy/examples/policies/experiments/short.rs
+++ b/crates/policy/examples/policies/experiments/short.rs
@@ -29,7 +29,12 @@
         used.load.classes[0].stragglers = 0.02;
         let kind = if keyed { "keyed" } else { "any" };
         let name = format!("stragglers-{part}-{kind}");
+        let patient = Spec {
+            preempts: false,
+            ..used.clone()
+        };
         compare_short(&name, "in-use", &calm, &used);
+        compare_short(&name, "no-preemption", &calm, &patient);
         compare_short(&name, "baseline", &baseline(&calm), &baseline(&used));
     }
 }
