--- a/crates/lab/src/faults/provoke.rs
+++ b/crates/lab/src/faults/provoke.rs
@@ -2,8 +2,8 @@
 //!
 //! | seeded fault | run | breach that shows |
 //! |---|---|---|
-//! | `no-regrant-wait` | `--deployment atlas --hosts 6 --seconds 16` | `wrong_owner` |
-//! | `resend-after-first-byte` | `--hosts 6 --seconds 15` | `double_run` |
+//! | `no-regrant-wait` | `--deployment atlas --hosts 6 --seconds 40` | `wrong_owner` |
+//! | `resend-after-first-byte` | `--hosts 6 --seconds 24` | `double_run` |
 //! | `blind-second-write` | `--hosts 6 --seconds 36` | `lost_assignments` |
 
 use tarragon_model::config::{Config, Service};
@@ -13,10 +13,12 @@
 
 /// Time without faults at the start, in milliseconds.
 const CALM_MS: u64 = 6_000;
-/// Backend servers that are struck.
-const STRUCK: usize = 12;
-/// Time between two strikes, in milliseconds.
-const STEP_MS: u64 = 600;
+/// Strikes of one schedule; a single one meets work under way by chance only.
+const STRIKES: usize = 30;
+/// Time between two strikes that freeze, in milliseconds.
+const FREEZE_STEP_MS: u64 = 1_000;
+/// Time between two strikes that kill, in milliseconds.
+const KILL_STEP_MS: u64 = 500;
 /// Time for which a backend server stays frozen, in milliseconds.
 const FREEZE_MS: u64 = 4_000;
 /// Time for which a backend server stays gone, in milliseconds.
@@ -31,23 +33,23 @@
         "no-regrant-wait" => {
             let unchecked = |service: &&Service| service.keyed && !service.checks_fences;
             let service = config.services.iter().find(unchecked);
-            strikes(service, Kind::BackendFreeze, FREEZE_MS)
+            strikes(service, Kind::BackendFreeze, FREEZE_STEP_MS, FREEZE_MS)
         }
         "resend-after-first-byte" => {
             let service = deployment.service(Use::Write);
             let service = service.and_then(|service| config.service(service.name));
-            strikes(service, Kind::BackendKill, GONE_MS)
+            strikes(service, Kind::BackendKill, KILL_STEP_MS, GONE_MS)
         }
         "blind-second-write" => blind_writes(&field.hosts),
         _ => Vec::new(),
     }
 }
 
-/// Strikes the backend servers of a service one after the other.
-fn strikes(service: Option<&Service>, kind: Kind, for_ms: u64) -> Vec<Fault> {
+/// Strikes the backend servers of a service in turn.
+fn strikes(service: Option<&Service>, kind: Kind, step_ms: u64, for_ms: u64) -> Vec<Fault> {
     let backends = service.map_or(&[][..], |service| &service.backends);
-    let times = (CALM_MS..).step_by(usize::try_from(STEP_MS).unwrap_or(1));
-    let struck = backends.iter().take(STRUCK).zip(times);
+    let times = (0..).map(|number: u64| CALM_MS + number * step_ms);
+    let struck = backends.iter().cycle().take(STRIKES).zip(times);
     let strike = |(backend, at_ms): (&tarragon_model::config::Backend, u64)| {
         fault(at_ms, kind, &[backend.id.as_str()], for_ms)
     };
