Count refused work as load of its owner

Ruled out: nothing else. Change: refused keyed requests are recorded with their expected time, and the planner is given the learned capacity. Figures: not measured in the whole system.

--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -227,12 +227,29 @@
         for action in actions.drain(..) {
             match action {
                 Action::Start { id, backend } => self.started(now, id, backend, out, log),
-                Action::Refuse { id, reason } => self.refuse(id, reason, out),
+                Action::Refuse { id, reason } => {
+                    self.count_refused(now, id);
+                    self.refuse(id, reason, out);
+                }
             }
         }
         self.actions = actions;
     }
 
+    /// Counts work that was refused as load of its key's owner, which would look idle otherwise.
+    fn count_refused(&mut self, now: Now, id: u64) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        if !self.service.keyed {
+            return;
+        }
+        let submission = &flight.submission;
+        let owner = self.owner_of(submission.group, submission.key);
+        let work = self.scheduler.expected_time(submission.class, submission.key, owner);
+        self.planner.record(now.at, submission.group, submission.key, work, owner);
+    }
+
     fn started(
         &mut self,
         now: Now,
--- a/crates/node/src/engine/moves.rs
+++ b/crates/node/src/engine/moves.rs
@@ -88,7 +88,7 @@
             Standing::Lost => Slots::Lost,
         };
         Backend {
-            speed: self.scheduler.speed(index(position)),
+            speed: self.scheduler.capacity(index(position)),
             state,
         }
     }
