Play several nodes with faults in virtual time; know own earlier runs as ended

Cause: a host that had been restarted did not count its own earlier run as gone, for no heartbeat of its own reaches it. When all three of a trio had been lost and such a host came first among the candidates, nobody adopted the shard. Ruled out: the other hosts, which saw all three as ended. Change: a node starts with the earlier runs of its own host declared lost. Conclusion: a shard whose trio was lost together and restarted is adopted.

--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -117,9 +117,14 @@
     /// Starts without knowledge of anything but itself.
     #[must_use]
     pub fn new(settings: Settings, now: Now) -> Self {
+        // This run ended every earlier one of its own host, which nobody else tells it.
+        let mut members = Members::default();
+        if let Some(incarnation) = settings.me.incarnation.checked_sub(1) {
+            members.declare_lost(&Peer::new(settings.me.host.clone(), incarnation));
+        }
         Self {
             settings,
-            members: Members::default(),
+            members,
             directory: Directory::default(),
             config: Arc::new(Config::default()),
             config_version: 0,
@@ -232,6 +237,14 @@
         self.config_version > 0 && self.draining.is_none()
     }
 
+    /// Counts the requests that this process keeps books on, for checks that none is left behind.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        let engines = self.slots.values().filter_map(|slot| slot.engine.as_ref());
+        let flights = engines.map(crate::engine::Engine::in_flight).sum();
+        self.requests.len().max(flights)
+    }
+
     fn tick(&mut self, now: Now, out: &mut Vec<Output>) {
         if now.at >= self.next_heartbeat {
             self.next_heartbeat = now.at + gossip::HEARTBEAT_EVERY;
--- /dev/null
+++ b/crates/node/tests/common/fault.rs
@@ -0,0 +1,139 @@
+//! Faults of hosts, backend servers, links and the store.
+
+use rand::RngExt;
+use tarragon_model::host::{Id, Peer};
+use tarragon_model::shard;
+use tarragon_node::input::Input;
+
+use super::World;
+use super::event::What;
+use super::setup::Each;
+
+/// Something that goes wrong or is put right again.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Kill(usize),
+    Start(usize),
+    Freeze(usize, u64),
+    Drain(usize),
+    DeclareHost(usize),
+    Cut(usize, usize),
+    Heal,
+    StoreAway(bool),
+    LoseAnswers(u32),
+    KillBackend(usize),
+    StartBackend(usize),
+    FreezeBackend(usize, u64),
+    DeclareBackend(usize, bool),
+    DrainBackend(usize, bool),
+    Configure,
+    /// Kills the leader of a shard, its standbys in turn for 1 and 2.
+    KillPart(shard::Id, usize),
+}
+
+impl World {
+    pub fn fault(&mut self, fault: Fault) {
+        self.trace(|| format!("fault {fault:?}"));
+        match fault {
+            Fault::Kill(host) => self.kill(host),
+            Fault::Start(host) => self.start(host),
+            Fault::Freeze(host, span) => {
+                let until = self.now + span;
+                let host = &mut self.hosts[host];
+                host.frozen_until = host.frozen_until.max(until);
+            }
+            Fault::Drain(host) => {
+                let process = self.hosts[host].process;
+                self.later(0, What::Input(process, Input::Drain));
+            }
+            Fault::DeclareHost(host) => self.declare_host(host),
+            Fault::Cut(a, b) => {
+                self.cuts.insert((a, b));
+                self.cuts.insert((b, a));
+            }
+            Fault::Heal => self.cuts.clear(),
+            Fault::StoreAway(away) => self.set_store(away),
+            Fault::LoseAnswers(percent) => self.store.lost_answers = percent,
+            Fault::KillBackend(backend) => self.crash(backend),
+            Fault::StartBackend(backend) => self.restart(backend),
+            Fault::FreezeBackend(backend, span) => {
+                let until = self.now + span;
+                let backend = &mut self.backends[backend];
+                backend.frozen_until = backend.frozen_until.max(until);
+            }
+            Fault::DeclareBackend(backend, lost) => {
+                if !lost || !self.backends[backend].up {
+                    self.backends[backend].declared = lost;
+                    self.change_config(|config| config.each(backend).lost = lost);
+                }
+            }
+            Fault::DrainBackend(backend, draining) => {
+                self.change_config(|config| config.each(backend).draining = draining);
+            }
+            Fault::Configure => {
+                let percent = self.rng.random_range(70..=100);
+                self.change_config(|config| config.presets.ordinary.slots_percent = percent);
+            }
+            Fault::KillPart(shard, part) => {
+                let Some((_, record)) = self.store.records.get(&shard) else {
+                    return;
+                };
+                let trio = &record.trio;
+                let peers = [&trio.leader, &trio.first, &trio.second];
+                let host = host_position(&peers[part].host);
+                self.kill(host);
+            }
+        }
+    }
+
+    /// An operator says that a process which was killed is gone.
+    fn declare_host(&mut self, host: usize) {
+        if self.hosts[host].node.is_some() {
+            return;
+        }
+        let peer = self.hosts[host].peer();
+        self.store.lost.push(peer.clone());
+        self.tell_all(&|| Input::HostLost(peer.clone()));
+    }
+
+    /// Puts everything right again.
+    pub fn mend(&mut self) {
+        self.trace(|| "mend".to_owned());
+        self.quiet_since = self.now;
+        self.cuts.clear();
+        self.loss = 0;
+        self.store.lost_answers = 0;
+        self.set_store(false);
+        for host in 0..self.hosts.len() {
+            self.hosts[host].frozen_until = self.hosts[host].frozen_until.min(self.now);
+            if self.hosts[host].node.is_none() || self.hosts[host].leaving {
+                self.kill(host);
+                self.start(host);
+            }
+        }
+        for backend in 0..self.backends.len() {
+            self.backends[backend].frozen_until =
+                self.backends[backend].frozen_until.min(self.now);
+            self.backends[backend].declared = false;
+            self.restart(backend);
+        }
+        self.change_config(|config| {
+            for service in &mut config.services {
+                for backend in &mut service.backends {
+                    backend.lost = false;
+                    backend.draining = false;
+                }
+            }
+        });
+    }
+}
+
+/// Position of a host, from its name.
+pub fn host_position(id: &Id) -> usize {
+    id.as_str()[1..].parse().unwrap()
+}
+
+/// Returns the peer's text for messages.
+pub fn name(peer: &Peer) -> String {
+    peer.to_string()
+}
