--- a/crates/node/tests/schedules.rs
+++ b/crates/node/tests/schedules.rs
@@ -34,9 +34,15 @@
 
 cases! {
     leader_killed:
-        500 => Fault::KillPart(shard("checked", 0), 0),
+        500 => Fault::KillPart(shard("checked", 0), 0);
+        until 4_000;
+    plain_leader_killed:
         500 => Fault::KillPart(shard("plain", 0), 0);
         until 4_000;
+    two_of_a_trio_killed:
+        500 => Fault::KillPart(shard("checked", 0), 0),
+        500 => Fault::KillPart(shard("checked", 0), 1);
+        until 4_000;
     leader_killed_with_the_store_away:
         300 => Fault::StoreAway(true),
         1_000 => Fault::KillPart(shard("checked", 0), 0);
