--- a/crates/node/tests/common/fault.rs
+++ b/crates/node/tests/common/fault.rs
@@ -102,6 +102,7 @@
         self.quiet_since = self.now;
         self.cuts.clear();
         self.loss = 0;
+        self.late_sends = 0;
         self.store.lost_answers = 0;
         self.set_store(false);
         for host in 0..self.hosts.len() {
--- a/crates/node/tests/common/hosts.rs
+++ b/crates/node/tests/common/hosts.rs
@@ -150,12 +150,18 @@
         let Some(node) = &mut host.node else {
             return;
         };
+        if self.traced && !matches!(input, Input::Tick | Input::Message { .. }) {
+            eprintln!("{now:>9} h{} {input:?}", process.host);
+        }
         let mut outputs = Vec::new();
         node.handle(at, input, &mut outputs);
         for (shard, until) in node.leases() {
             host.leases.insert(shard.clone(), until);
         }
         for output in outputs {
+            if !matches!(output, Output::Send { .. } | Output::Event(_)) {
+                self.trace(|| format!("h{} {output:?}", process.host));
+            }
             self.carry_out(process, output);
         }
     }
@@ -437,6 +443,7 @@
     pub fn submit(&mut self, host: usize, attempt: usize) {
         let id = self.number();
         let process = self.hosts[host].process;
+        self.trace(|| format!("h{host} submit {id} attempt {attempt}"));
         let running = Running {
             attempt,
             stage: Stage::Waiting,
