--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -38,7 +38,7 @@
         Some("demo") => finish(demo_command(rest)),
         Some("standin") => standin_command(rest),
         Some("router") => tarragon_router::cli::run(rest),
-        //CTL
+        Some("ctl") => tarragonctl::cli::run(rest),
         Some("-h" | "--help" | "help") => {
             println!("{HELP}");
             ExitCode::SUCCESS
