Enforce the router's limits on connections, heads, pauses and callers that never read

Cause: limits.connections and limits.header_bytes were read and never used, a half-sent head kept its connection, and a caller that never read kept its connection and the shutdown for ever: the HTTP server polls the body no more once its socket is full, so the relay's end never reached it (two of seven new tests failed on that: the answer was whole after the limit, and the process had not ended a minute after SIGTERM). limits. shutdown_idle_ms counted only for bodies that began after the shutdown. Ruled out: ending the body early, since the server waits for the socket first; counting accepts alone, since the library hides the ends. Change: connections.rs counts by copies of the span provider, as the stand-ins do, and keeps a second handle of each socket (one more file descriptor a connection) by which a connection that stands still is shut down; Patience ends a pause also when the shutdown begins meanwhile; a broken-off answer frees its slot before the caller takes the error. A wrong fleet key is noted as connection-refused, not as bad-frame, and events that outsiders can cause are recorded 20 times a second at most.

--- /dev/null
+++ b/crates/lab/tests/router_fleet/mod.rs
@@ -0,0 +1,290 @@
+//! A fleet of real processes: store, backend servers and three routers on loopback.
+
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tarragon_lab::fleet::port::Block;
+use tokio::sync::{Mutex, MutexGuard};
+
+use crate::support::{Answer, PATIENCE, Process, WorkDir, call};
+
+/// One fleet at a time, so that a test run stays small.
+static TURN: Mutex<()> = Mutex::const_new(());
+/// Pause between two looks at something that is awaited.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Places of the hosts and of the backend servers.
+const PLACES: [(&str, &str); 3] = [
+    ("karachi-1", "sindh"),
+    ("karachi-2", "sindh"),
+    ("gwadar-1", "balochistan"),
+];
+/// Key of the fleet.
+pub const FLEET_KEY: &[u8] = b"a key of the tests, long enough for the settings";
+
+/// Router process, killed when dropped.
+pub struct Router {
+    child: Child,
+    pub name: String,
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub forward: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+impl Router {
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
+    /// Waits for the end of the process, `limit` at most.
+    pub async fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Some(status) = self.ended() {
+                return Some(status);
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        None
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// All processes of one test.
+pub struct Fleet {
+    pub routers: Vec<Router>,
+    pub backends: Vec<Process>,
+    pub store: Process,
+    dir: PathBuf,
+    _ports: Block,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl Fleet {
+    /// Starts a fleet whose configuration is in force everywhere.
+    pub async fn start(dir: &WorkDir) -> Self {
+        Self::with_limits(dir, json!({})).await
+    }
+
+    /// Starts a fleet whose routers have these limits.
+    pub async fn with_limits(dir: &WorkDir, limits: Value) -> Self {
+        let turn = TURN.lock().await;
+        let mut ports = Block::claim().unwrap();
+        let store = Process::start("store --listen 127.0.0.1:0");
+        let root = dir.path("");
+        let backends: Vec<_> = (1..=2).map(|number| backend(&root, number)).collect();
+        fs::write(root.join("fleet.key"), FLEET_KEY).unwrap();
+        let mut routers = Vec::new();
+        for (at, place) in PLACES.iter().enumerate() {
+            let router = router(&root, at, *place, &mut ports, store.addr, &limits);
+            list(&store, &router, *place).await;
+            routers.push(router);
+        }
+        let fleet = Self {
+            routers,
+            backends,
+            store,
+            dir: root,
+            _ports: ports,
+            _turn: turn,
+        };
+        fleet.configure().await;
+        fleet
+    }
+
+    async fn configure(&self) {
+        let config = self.path("config.json");
+        fs::write(&config, self.config().to_string()).unwrap();
+        self.done(&["config", "apply", config.to_str().unwrap()]);
+        for router in &self.routers {
+            self.served(router.caller, "/balance/first/?work_us=100")
+                .await;
+        }
+    }
+
+    fn config(&self) -> Value {
+        let places = PLACES.map(|(name, region)| json!({"name": name, "region": region}));
+        json!({ "places": places, "services": [self.service("balance")] })
+    }
+
+    /// Describes a service on the fleet's backend servers.
+    pub fn service(&self, name: &str) -> Value {
+        let backends: Vec<_> = self
+            .backends
+            .iter()
+            .zip(PLACES)
+            .enumerate()
+            .map(|(at, (process, (place, _)))| {
+                json!({
+                    "id": format!("b{}", at + 1), "addr": process.addr,
+                    "place": place, "shard": 0,
+                })
+            })
+            .collect();
+        json!({
+            "name": name, "keyed": true, "checks_fences": true, "groups": 16,
+            "shards": [{ "weight": 1 }], "backends": backends,
+            "slots": 6, "connections": 110, "deadline_ms": 5000,
+        })
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
+    /// Runs an operators' command.
+    pub fn ctl(&self, args: &[&str]) -> Output {
+        let store = self.store.addr.to_string();
+        let defaults = ["ctl", "--store", &store, "--timeout", "20"];
+        Command::new(env!("CARGO_BIN_EXE_lab"))
+            .args(defaults)
+            .args(args)
+            .output()
+            .unwrap()
+    }
+
+    /// Runs an operators' command that must end well, and returns what it printed.
+    pub fn done(&self, args: &[&str]) -> String {
+        let output = self.ctl(args);
+        assert_eq!(output.status.code(), Some(0), "{args:?}: {output:?}");
+        String::from_utf8(output.stdout).unwrap()
+    }
+
+    /// Asks a path until the answer is 200.
+    pub async fn served(&self, caller: SocketAddr, path: &str) -> Answer {
+        let mut last = None;
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            match call(caller, Method::GET, path, &[], "").await {
+                Ok(answer) if answer.status == 200 => return answer,
+                other => last = Some(other),
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        panic!("{caller}{path} not served in time: {last:?}");
+    }
+
+    /// Waits until the time line holds a text, and returns it.
+    pub async fn timeline_with(&self, args: &[&str], text: &str) -> String {
+        let mut all = vec!["timeline"];
+        all.extend(args);
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let output = self.ctl(&all);
+            let found = String::from_utf8_lossy(&output.stdout).into_owned();
+            if found.contains(text) {
+                return found;
+            }
+            assert!(Instant::now() < end, "no {text:?} in {output:?}");
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Asks a host's operators' port.
+    pub async fn ask(&self, admin: SocketAddr, path: &str) -> Value {
+        call(admin, Method::GET, path, &[], "")
+            .await
+            .unwrap()
+            .json()
+    }
+
+    /// Returns the position of the router that leads the only shard.
+    pub async fn leader(&self) -> usize {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            for (at, router) in self.routers.iter().enumerate() {
+                let shards = self.ask(router.admin, "/shards").await;
+                if shards["shards"][0]["acting"] == true {
+                    return at;
+                }
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        panic!("no leader in time");
+    }
+
+    /// Returns the lines of all backend servers' records for a request, as their states.
+    pub fn states(&self, request: &str) -> Vec<String> {
+        (1..=self.backends.len())
+            .map(|number| self.path(&format!("b{number}.records")))
+            .filter(|path| path.exists())
+            .flat_map(|path| crate::support::states(&path, request))
+            .collect()
+    }
+}
+
+fn backend(dir: &Path, number: usize) -> Process {
+    let record = dir.join(format!("b{number}.records"));
+    Process::start(&format!(
+        "backend --service balance --id b{number} --listen 127.0.0.1:0 --checks --record {}",
+        record.display()
+    ))
+}
+
+fn router(
+    dir: &Path,
+    at: usize,
+    (place, region): (&str, &str),
+    ports: &mut Block,
+    store: SocketAddr,
+    limits: &Value,
+) -> Router {
+    let name = format!("h{}", at + 1);
+    let [caller, peer, forward, admin] = std::array::from_fn(|_| ports.addr().unwrap());
+    let settings = json!({
+        "host": name, "region": region, "failure_domain": place,
+        "caller_addr": caller, "peer_addr": peer, "forward_addr": forward, "admin_addr": admin,
+        "store_addr": store, "fleet_key_file": "fleet.key", "limits": limits,
+    });
+    let path = dir.join(format!("{name}.json"));
+    fs::write(&path, settings.to_string()).unwrap();
+    let log = File::create(dir.join(format!("{name}.log"))).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_lab"))
+        .args(["router", "--settings"])
+        .arg(&path)
+        .env("TARRAGON_LOG", "info")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .unwrap();
+    Router {
+        child,
+        name,
+        caller,
+        peer,
+        forward,
+        admin,
+    }
+}
+
+async fn list(store: &Process, router: &Router, (place, region): (&str, &str)) {
+    let entry = json!({
+        "id": router.name, "region": region, "failure_domain": place, "state": "live",
+        "peer_addr": router.peer, "forward_addr": router.forward, "admin_addr": router.admin,
+    });
+    let path = format!("/v1/objects/hosts/{}?if_version=0", router.name);
+    let answer = call(store.addr, Method::PUT, &path, &[], &entry.to_string()).await;
+    assert_eq!(answer.unwrap().status, 200);
+}
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -12,6 +12,7 @@
 use volo_http::response::Response;
 
 use crate::backend::value;
+use crate::connections::Caller;
 use crate::control::{Command, Question};
 use crate::kernel::{Duty, Work};
 use crate::server::{self, Handler, Limits};
@@ -19,6 +20,8 @@
 
 /// Header fields that a request may have.
 const MAX_HEADERS: usize = 64;
+/// Connections of operators that are open at a time.
+const MAX_CONNECTIONS: usize = 256;
 /// Events returned by one call, at most.
 const MAX_EVENTS: usize = 5_000;
 /// Longest wait for events, in milliseconds.
@@ -35,17 +38,15 @@
 fn start(shared: Shared) -> Work {
     Box::pin(async move {
         let addr = shared.settings.admin_addr;
-        let (close, stop) = (shared.close.clone(), shared.stop.clone());
-        server::serve(
-            addr,
-            Limits {
-                headers: MAX_HEADERS,
-            },
-            Admin { shared },
-            close,
-            stop,
-        )
-        .await
+        let limits = Limits {
+            headers: MAX_HEADERS,
+            connections: MAX_CONNECTIONS,
+            idle: None,
+        };
+        let admin = Admin {
+            shared: shared.clone(),
+        };
+        server::serve(&shared, addr, limits, admin).await
     })
 }
 
@@ -55,7 +56,7 @@
 }
 
 impl Handler for Admin {
-    async fn handle(&self, request: Request) -> Response {
+    async fn handle(&self, request: Request, _: Caller) -> Response {
         let uri = request.uri().clone();
         match (request.method(), uri.path()) {
             (&Method::GET, "/healthz") => text(StatusCode::OK, "alive\n"),
@@ -165,15 +166,12 @@
             .get(..2)
             .and_then(|digits| std::str::from_utf8(digits).ok());
         let decoded = escape.and_then(|digits| u8::from_str_radix(digits, 16).ok());
-        match (first, decoded) {
-            (b'%', Some(byte)) => {
-                bytes.push(byte);
-                rest = &tail[2..];
-            }
-            _ => {
-                bytes.push(*first);
-                rest = tail;
-            }
+        if let (b'%', Some(byte)) = (first, decoded) {
+            bytes.push(byte);
+            rest = &tail[2..];
+        } else {
+            bytes.push(*first);
+            rest = tail;
         }
     }
     String::from_utf8_lossy(&bytes).into_owned()
--- a/crates/router/src/exchange/accept.rs
+++ b/crates/router/src/exchange/accept.rs
@@ -47,17 +47,19 @@
 
 async fn serve(shared: Shared, stream: TcpStream, from: SocketAddr) {
     let _ = stream.set_nodelay(true);
-    if let Err(reason) = receive(&shared, stream).await {
-        let draft = Draft::new(Kind::BadFrame)
+    if let Err((kind, reason)) = receive(&shared, stream).await {
+        let draft = Draft::new(kind)
             .with(Name::Peer, from)
             .with(Name::Reason, reason);
-        shared.record(draft);
+        shared.record_some(draft);
     }
 }
 
-async fn receive(shared: &Shared, stream: TcpStream) -> Result<(), String> {
+async fn receive(shared: &Shared, stream: TcpStream) -> Result<(), (Kind, String)> {
     let greeting = timeout(INTRODUCTION_TIME, greet(shared, stream)).await;
-    let Some((peer, mut socket)) = greeting.map_err(|_| "step=introduce: timeout")?? else {
+    let greeting = greeting.unwrap_or_else(|_| Err("step=introduce: timeout".to_owned()));
+    let greeting = greeting.map_err(|reason| (Kind::ConnectionRefused, reason))?;
+    let Some((peer, mut socket)) = greeting else {
         return Ok(());
     };
     loop {
@@ -69,7 +71,8 @@
             return Ok(());
         };
         if let Item::Binary(bytes) = item {
-            let frame: Frame = decode(&bytes).map_err(|error| error.to_string())?;
+            let frame: Frame =
+                decode(&bytes).map_err(|error| (Kind::BadFrame, error.to_string()))?;
             shared.observe(frame.stamp);
             let input = Input::Message {
                 from: peer.clone(),
--- a/crates/router/src/front/forward.rs
+++ b/crates/router/src/front/forward.rs
@@ -87,7 +87,7 @@
     let (head, body) = response.into_parts();
     let outcome = text(&head.headers, OUTCOME_HEADER).and_then(parse_outcome);
     let reason = text(&head.headers, REASON_HEADER).and_then(parse_reason);
-    let idle = shared.body_idle();
+    let idle = shared.patience();
     let chunks = relay::start(body, idle, CancellationToken::new(), |_| {});
     Answer {
         outcome: outcome.unwrap_or(Outcome::Unknown),
--- a/crates/router/src/front/lead.rs
+++ b/crates/router/src/front/lead.rs
@@ -200,7 +200,7 @@
             () = watch.cancelled() => {}
         }
     });
-    let idle = shared.body_idle();
+    let idle = shared.patience();
     let chunks = relay::start(body, idle, abort, move |end| {
         let ending = match end {
             End::Whole => Ending::Served,
--- a/crates/router/src/front/mod.rs
+++ b/crates/router/src/front/mod.rs
@@ -14,8 +14,10 @@
 use volo_http::response::Response;
 
 use crate::backend::Client;
+use crate::connections::Caller;
 use crate::error::Error;
 use crate::exchange::auth;
+use crate::front::relay::Guard;
 use crate::front::reply::Answer;
 use crate::kernel::{Duty, Work};
 use crate::server::{self, Handler, Limits};
@@ -27,6 +29,8 @@
 const FORWARD_THREADS: usize = 2;
 /// Header fields that a request may have.
 const MAX_HEADERS: usize = 64;
+/// Bytes of a header field besides its name and value: colon, space and end of line.
+const FIELD_EXTRA_BYTES: usize = 4;
 /// Header that marks a forwarded request.
 pub const HOP_HEADER: &str = "tarragon-hop";
 /// Header that proves that a forwarded request comes from a router of the fleet.
@@ -62,22 +66,30 @@
         addr,
         detail: error.to_string(),
     })?;
-    let (close, stop) = (shared.close.clone(), shared.stop.clone());
+    let limits = limits(&shared, origin);
     let front = Front {
-        shared,
+        shared: shared.clone(),
         client,
         origin,
     };
-    server::serve(
-        addr,
-        Limits {
+    server::serve(&shared, addr, limits, front).await
+}
+
+/// Callers are limited; routers keep connections of their own number.
+fn limits(shared: &Shared, origin: Origin) -> Limits {
+    let limits = &shared.settings.limits;
+    match origin {
+        Origin::Caller => Limits {
+            headers: MAX_HEADERS,
+            connections: limits.connections,
+            idle: Some(limits.body_idle()),
+        },
+        Origin::Router => Limits {
             headers: MAX_HEADERS,
+            connections: usize::MAX,
+            idle: None,
         },
-        front,
-        close,
-        stop,
-    )
-    .await
+    }
 }
 
 /// Where a request comes from.
@@ -95,9 +107,9 @@
 }
 
 impl Handler for Front {
-    async fn handle(&self, request: Request) -> Response {
+    async fn handle(&self, request: Request, caller: Caller) -> Response {
         let started = self.shared.clock.at();
-        let guard = self.shared.enter();
+        let guard = Guard::new(self.shared.enter(), caller);
         let answer = self.answer(request).await;
         let seconds = self.shared.clock.at().since(started).as_secs_f64();
         if self.origin == Origin::Caller {
@@ -118,10 +130,13 @@
 impl Front {
     async fn answer(&self, request: Request) -> Answer {
         if self.origin == Origin::Router && !self.is_from_fleet(&request) {
-            let draft = Draft::new(Kind::BadFrame)
+            let draft = Draft::new(Kind::ConnectionRefused)
                 .with(Name::Step, "forward")
                 .with(Name::Reason, "no proof of the fleet key");
-            self.shared.record(draft);
+            self.shared.record_some(draft);
+            return Answer::refuse(tarragon_model::outcome::Reason::BadRequest);
+        }
+        if header_bytes(&request) > self.shared.settings.limits.header_bytes {
             return Answer::refuse(tarragon_model::outcome::Reason::BadRequest);
         }
         let view = self.shared.view.borrow().clone();
@@ -145,6 +160,15 @@
     }
 }
 
+/// Returns the size of a request's head as it is written on the wire.
+fn header_bytes(request: &Request) -> usize {
+    let path = request.uri().path_and_query();
+    let line = path.map_or(0, |path| path.as_str().len());
+    let fields = request.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA_BYTES);
+    line + fields.sum::<usize>()
+}
+
 /// Writes bytes as hexadecimal digits.
 #[must_use]
 pub fn encode_hex(bytes: &[u8]) -> String {
--- a/crates/router/src/front/relay.rs
+++ b/crates/router/src/front/relay.rs
@@ -5,17 +5,17 @@
 //! error, which closes the caller's connection: the caller cannot take a part for the whole.
 
 use std::pin::Pin;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use volo_http::body::Body;
 
-use crate::shared::InFlight;
+use crate::connections::{Caller, Visit};
+use crate::shared::{InFlight, Patience};
 
 /// Chunks that may wait for the caller.
 const QUEUE: usize = 4;
@@ -27,6 +27,26 @@
 pub struct Chunks {
     queue: mpsc::Receiver<Result<Bytes, BoxError>>,
     length: Option<u64>,
+    caller: Arc<OnceLock<Caller>>,
+}
+
+/// Counts a request as running until its answer was passed on.
+pub struct Guard {
+    caller: Caller,
+    _in_flight: InFlight,
+    _visit: Visit,
+}
+
+impl Guard {
+    /// Counts a request for the process and for the connection that it came over.
+    #[must_use]
+    pub fn new(in_flight: InFlight, caller: Caller) -> Self {
+        Self {
+            _in_flight: in_flight,
+            _visit: caller.visit(),
+            caller,
+        }
+    }
 }
 
 /// How a body ended.
@@ -46,28 +66,46 @@
 struct Broken;
 
 /// Starts to pass a body on; `ended` is told how it ended.
-pub fn start<F>(body: Body, idle: Duration, abort: CancellationToken, ended: F) -> Chunks
+pub fn start<F>(body: Body, idle: Patience, abort: CancellationToken, ended: F) -> Chunks
 where
     F: FnOnce(End) + Send + 'static,
 {
     use http_body::Body as _;
     let length = body.size_hint().exact();
     let (sender, queue) = mpsc::channel(QUEUE);
+    let caller = Arc::<OnceLock<Caller>>::default();
+    let reader = Arc::clone(&caller);
     tokio::spawn(async move {
-        let end = pump(body, length, idle, &abort, &sender).await;
-        if end == End::Cut {
-            let _ = sender.send(Err(Box::new(Broken) as BoxError)).await;
-        }
-        drop(sender);
+        let end = pump(body, length, &idle, &abort, &sender).await;
         ended(end);
+        let taken = match end {
+            End::Whole => true,
+            End::CallerGone => sender.is_closed(),
+            End::Cut => break_off(&sender, &idle).await,
+        };
+        if !taken && let Some(caller) = reader.get() {
+            caller.cut();
+        }
     });
-    Chunks { queue, length }
+    Chunks {
+        queue,
+        length,
+        caller,
+    }
+}
+
+/// Ends a body with an error; tells whether the caller took it.
+async fn break_off(sender: &mpsc::Sender<Result<Bytes, BoxError>>, idle: &Patience) -> bool {
+    tokio::select! {
+        _ = sender.send(Err(Box::new(Broken) as BoxError)) => true,
+        () = idle.ends() => false,
+    }
 }
 
 async fn pump(
     mut body: Body,
     mut left: Option<u64>,
-    idle: Duration,
+    idle: &Patience,
     abort: &CancellationToken,
     sender: &mpsc::Sender<Result<Bytes, BoxError>>,
 ) -> End {
@@ -77,21 +115,25 @@
         let frame = tokio::select! {
             biased;
             () = abort.cancelled() => return End::Cut,
-            frame = timeout(idle, body.frame()) => frame,
+            frame = body.frame() => frame,
             () = sender.closed() => return gone(left),
+            () = idle.ends() => return End::Cut,
         };
         let frame = match frame {
-            Ok(None) => return End::Whole,
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) | Err(_) => return End::Cut,
+            None => return End::Whole,
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return End::Cut,
         };
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
         left = left.map(|left| left.saturating_sub(bytes.len() as u64));
-        match timeout(idle, sender.send(Ok(bytes))).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) | Err(_) => return End::CallerGone,
+        let sent = tokio::select! {
+            sent = sender.send(Ok(bytes)) => sent.is_ok(),
+            () = idle.ends() => false,
+        };
+        if !sent {
+            return End::CallerGone;
         }
     }
 }
@@ -108,7 +150,8 @@
 impl Chunks {
     /// Makes the body of an HTTP answer.
     #[must_use]
-    pub fn into_body(self, guard: InFlight) -> Body {
+    pub fn into_body(self, guard: Guard) -> Body {
+        let _ = self.caller.set(guard.caller.clone());
         Body::from_body(Outgoing {
             chunks: self,
             _guard: guard,
@@ -120,7 +163,7 @@
 /// Body that counts as in flight until it is dropped.
 struct Outgoing {
     chunks: Chunks,
-    _guard: InFlight,
+    _guard: Guard,
     done: bool,
 }
 
--- a/crates/router/src/front/reply.rs
+++ b/crates/router/src/front/reply.rs
@@ -8,7 +8,6 @@
 
 use crate::backend::value;
 use crate::front::relay;
-use crate::shared::InFlight;
 
 /// Header with the status of the first run of a request that was already done.
 pub const STATUS_HEADER: &str = "tarragon-status";
@@ -67,7 +66,7 @@
 
     /// Builds the HTTP answer; the request counts as in flight until its body was passed on.
     #[must_use]
-    pub fn into_response(self, guard: InFlight) -> Response {
+    pub fn into_response(self, guard: relay::Guard) -> Response {
         let body = match self.body {
             Content::Whole(bytes) => Body::from(bytes),
             Content::Stream(chunks) => chunks.into_body(guard),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod cli;
 pub mod clock;
+pub mod connections;
 pub mod control;
 pub mod error;
 pub mod exchange;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -19,6 +19,9 @@
 use crate::metrics::Metrics;
 use crate::view::View;
 
+/// Events a second that outsiders can cause and that are recorded.
+const OUTSIDE_EVENTS_PER_S: u32 = 20;
+
 /// Handles that every duty gets.
 #[derive(Clone)]
 pub struct Shared {
@@ -49,6 +52,7 @@
     /// Rule broken on purpose.
     pub flaw: Flaw,
     next_request: Arc<AtomicU64>,
+    recent: Arc<Mutex<(u64, u32)>>,
 }
 
 /// Counts a request as in flight until dropped.
@@ -61,6 +65,28 @@
     }
 }
 
+/// How long a pause within a body may be.
+#[derive(Clone, Debug)]
+pub struct Patience {
+    body: Duration,
+    shutdown: Duration,
+    drain: CancellationToken,
+}
+
+impl Patience {
+    /// Ends when a pause that begins now has lasted too long, also when a shutdown begins meanwhile.
+    pub async fn ends(&self) {
+        let shutdown = async {
+            self.drain.cancelled().await;
+            tokio::time::sleep(self.shutdown).await;
+        };
+        tokio::select! {
+            () = tokio::time::sleep(self.body) => {}
+            () = shutdown => {}
+        }
+    }
+}
+
 /// Parts that [`Shared::new`] is built from.
 pub struct Parts {
     /// Settings of the process.
@@ -97,6 +123,7 @@
             in_flight: Arc::new(AtomicUsize::new(0)),
             flaw: parts.flaw,
             next_request: Arc::new(AtomicU64::new(1)),
+            recent: Arc::default(),
         }
     }
 
@@ -134,17 +161,30 @@
         journal.observe(unix_micros(), stamp);
     }
 
-    /// Returns the longest pause within a body.
+    /// Returns the patience with pauses within a body.
     #[must_use]
-    pub fn body_idle(&self) -> Duration {
+    pub fn patience(&self) -> Patience {
         let limits = &self.settings.limits;
-        let draining = self.drain.is_cancelled();
-        let millis = if draining {
-            limits.shutdown_idle_ms
-        } else {
-            limits.body_idle_ms
-        };
-        Duration::from_millis(millis)
+        Patience {
+            body: limits.body_idle(),
+            shutdown: limits.shutdown_idle(),
+            drain: self.drain.clone(),
+        }
+    }
+
+    /// Records an event of a kind that outsiders can cause, unless too many came within a second.
+    pub fn record_some(&self, draft: Draft) {
+        let second = unix_micros() / 1_000_000;
+        let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+        if recent.0 != second {
+            *recent = (second, 0);
+        }
+        recent.1 += 1;
+        let within = recent.1 <= OUTSIDE_EVENTS_PER_S;
+        drop(recent);
+        if within {
+            self.record(draft);
+        }
     }
 
     /// Returns the address to dial for an advertised address.
