Release the keys of overdue orphans on backend servers that check fences

Ruled out: a leak in the counts (every way out of a flight was read). Change: on a backend server that checks fences, work without a connection ends with its deadline and half a second.

--- a/crates/node/src/engine/backends.rs
+++ b/crates/node/src/engine/backends.rs
@@ -140,8 +140,7 @@
                     }
                 }
                 Standing::Live | Standing::Leaving => {
-                    self.occupancy
-                        .clear_old_orphans(backend, now.at - self.orphan_wait);
+                    self.occupancy.clear_ended_orphans(backend, now.at);
                 }
             }
         }
--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -246,8 +246,11 @@
         }
         let submission = &flight.submission;
         let owner = self.owner_of(submission.group, submission.key);
-        let work = self.scheduler.expected_time(submission.class, submission.key, owner);
-        self.planner.record(now.at, submission.group, submission.key, work, owner);
+        let work = self
+            .scheduler
+            .expected_time(submission.class, submission.key, owner);
+        self.planner
+            .record(now.at, submission.group, submission.key, work, owner);
     }
 
     fn started(
--- a/crates/node/src/engine/results.rs
+++ b/crates/node/src/engine/results.rs
@@ -1,8 +1,11 @@
 //! What becomes of a request after it was handed to a backend server.
 
+use std::time::Duration;
+
 use tarragon_ledger::ledger;
 use tarragon_ledger::quarantine::{self, Verdict as Suspicion};
 use tarragon_model::outcome::{Outcome, Reason};
+use tarragon_model::time::Instant;
 use tarragon_policy::scheduler::Ending as SlotEnding;
 use tarragon_timeline::event::{Kind, Name};
 
@@ -14,6 +17,9 @@
 use crate::output::Output;
 use crate::state::Entry;
 
+/// Time beyond its deadline in which a backend server notices that a request is overdue.
+const DEADLINE_GRACE: Duration = Duration::from_millis(500);
+
 impl Engine {
     /// Takes in that a backend server's answer began.
     pub fn responded(
@@ -184,8 +190,8 @@
         };
         self.scheduler.complete(now.at, id, slot);
         if self.service.keyed {
-            self.occupancy
-                .orphan(submission.key, flight.backend, now.at);
+            let end = self.orphan_end(now, submission.deadline);
+            self.occupancy.orphan(submission.key, flight.backend, end);
         }
         if let Some(flight) = self.flights.get_mut(&id) {
             flight.history.maybe_run = true;
@@ -208,6 +214,17 @@
         }
     }
 
+    /// Returns until when work without a connection may go on.
+    ///
+    /// A backend server that checks fences commits nothing after the deadline that it was sent;
+    /// of another one only the operators' bound is known.
+    fn orphan_end(&self, now: Now, deadline: Instant) -> Instant {
+        if self.service.checks_fences {
+            return deadline.max(now.at) + DEADLINE_GRACE;
+        }
+        now.at + self.orphan_wait
+    }
+
     fn end_unresolved(
         &mut self,
         now: Now,
--- a/crates/node/src/occupancy.rs
+++ b/crates/node/src/occupancy.rs
@@ -16,7 +16,7 @@
     backend: u16,
     running: u32,
     orphans: u32,
-    orphaned_at: Instant,
+    orphans_end: Instant,
 }
 
 /// All keys with work that may still run.
@@ -38,12 +38,13 @@
         self.prune(key);
     }
 
-    /// Counts a running request of the key as an orphan: its connection is gone, its work may run.
-    pub fn orphan(&mut self, key: key::Hash, backend: u16, now: Instant) {
+    /// Counts a running request of the key as an orphan: its connection is gone, but its work may
+    /// run until `end` on a backend server that answers, and for longer on one that does not.
+    pub fn orphan(&mut self, key: key::Hash, backend: u16, end: Instant) {
         let occupant = self.occupant(key, backend);
         occupant.running = occupant.running.saturating_sub(1);
         occupant.orphans += 1;
-        occupant.orphaned_at = now;
+        occupant.orphans_end = occupant.orphans_end.max(end);
     }
 
     /// Forgets all orphans on a backend server whose work is proven ended.
@@ -51,9 +52,9 @@
         self.clear_orphans_before(backend, None);
     }
 
-    /// Forgets the orphans on a backend server that are older than `before`.
-    pub fn clear_old_orphans(&mut self, backend: u16, before: Instant) {
-        self.clear_orphans_before(backend, Some(before));
+    /// Forgets the orphans on a backend server that answers whose time is over.
+    pub fn clear_ended_orphans(&mut self, backend: u16, now: Instant) {
+        self.clear_orphans_before(backend, Some(now));
     }
 
     /// Tells whether work of the key may run on any backend server but `owner`.
@@ -81,7 +82,7 @@
                 backend,
                 running: 0,
                 orphans: 0,
-                orphaned_at: Instant::ZERO,
+                orphans_end: Instant::ZERO,
             });
             list.len() - 1
         });
@@ -91,7 +92,7 @@
     fn clear_orphans_before(&mut self, backend: u16, before: Option<Instant>) {
         self.keys.retain(|_, list| {
             for one in list.iter_mut().filter(|one| one.backend == backend) {
-                if before.is_none_or(|limit| one.orphaned_at < limit) {
+                if before.is_none_or(|limit| one.orphans_end <= limit) {
                     one.orphans = 0;
                 }
             }
--- a/crates/node/tests/common/backend.rs
+++ b/crates/node/tests/common/backend.rs
@@ -346,7 +346,11 @@
 
     fn reply(&mut self, work: &Work, reply: Reply) {
         let (process, id, connection) = (work.process, work.id, work.connection);
-        let base = if matches!(reply, Reply::Whole) { 1_500 } else { 200 };
+        let base = if matches!(reply, Reply::Whole) {
+            1_500
+        } else {
+            200
+        };
         let delay = base + self.rng.random_range(0..1_300);
         self.later(
             delay,
--- a/crates/node/tests/common/fault.rs
+++ b/crates/node/tests/common/fault.rs
@@ -113,8 +113,7 @@
             }
         }
         for backend in 0..self.backends.len() {
-            self.backends[backend].frozen_until =
-                self.backends[backend].frozen_until.min(self.now);
+            self.backends[backend].frozen_until = self.backends[backend].frozen_until.min(self.now);
             self.backends[backend].declared = false;
             self.restart(backend);
         }
--- a/crates/node/tests/common/hosts.rs
+++ b/crates/node/tests/common/hosts.rs
@@ -249,7 +249,9 @@
             self.later(delay, What::Deliver { to, from, message });
         }
         let slow = self.rng.random_range(0..100) < self.loss;
-        let delay = self.rng.random_range(200..if slow { 200_000 } else { 3_000 });
+        let delay = self
+            .rng
+            .random_range(200..if slow { 200_000 } else { 3_000 });
         let message = Box::new(message);
         let from = peer;
         self.later(delay, What::Deliver { to, from, message });
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -150,7 +150,11 @@
             if runs && host.frozen_until > self.now {
                 // What one connection brings keeps its order.
                 let ordered = matches!(what, What::Reply { .. });
-                let jitter = if ordered { 1_000 } else { self.rng.random_range(0..2_000) };
+                let jitter = if ordered {
+                    1_000
+                } else {
+                    self.rng.random_range(0..2_000)
+                };
                 let thaw = self.hosts[process.host].frozen_until + jitter;
                 self.at(thaw, what);
                 return;
--- a/crates/node/tests/common/store.rs
+++ b/crates/node/tests/common/store.rs
@@ -138,7 +138,10 @@
     ) {
         if self.store.away {
             let result = Written::Failed;
-            self.later(300_000, What::Input(process, Input::Written { shard, result }));
+            self.later(
+                300_000,
+                What::Input(process, Input::Written { shard, result }),
+            );
             return;
         }
         let lost = self.rng.random_range(0..100) < self.store.lost_answers;
@@ -157,7 +160,10 @@
         let result = if lost { Written::Unfinished } else { result };
         let again = shard.clone();
         let delay = self.rng.random_range(2_000..30_000);
-        self.later(delay, What::Input(process, Input::Written { shard, result }));
+        self.later(
+            delay,
+            What::Input(process, Input::Written { shard, result }),
+        );
         if lost {
             let delay = self.rng.random_range(200_000..1_500_000);
             let shard = again;
@@ -202,7 +208,10 @@
             self.tell_record(&shard, version, &record);
         }
         let delay = self.rng.random_range(2_000..30_000);
-        self.later(delay, What::Input(process, Input::Written { shard, result }));
+        self.later(
+            delay,
+            What::Input(process, Input::Written { shard, result }),
+        );
     }
 
     fn tell_record(&mut self, shard: &shard::Id, version: u64, record: &Record) {
