--- a/crates/lab/tests/router_fleet/mod.rs
+++ b/crates/lab/tests/router_fleet/mod.rs
@@ -76,6 +76,7 @@
     pub routers: Vec<Router>,
     pub backends: Vec<Process>,
     pub store: Process,
+    checks: bool,
     dir: PathBuf,
     _ports: Block,
     _turn: MutexGuard<'static, ()>,
@@ -89,15 +90,26 @@
 
     /// Starts a fleet whose routers have these limits.
     pub async fn with_limits(dir: &WorkDir, limits: Value) -> Self {
+        Self::with(dir, &limits, true).await
+    }
+
+    /// Starts a fleet whose backend servers do not check who gives them an order.
+    pub async fn unchecked(dir: &WorkDir) -> Self {
+        Self::with(dir, &json!({}), false).await
+    }
+
+    async fn with(dir: &WorkDir, limits: &Value, checks: bool) -> Self {
         let turn = TURN.lock().await;
         let mut ports = Block::claim().unwrap();
         let store = Process::start("store --listen 127.0.0.1:0");
         let root = dir.path("");
-        let backends: Vec<_> = (1..=2).map(|number| backend(&root, number)).collect();
+        let backends: Vec<_> = (1..=2)
+            .map(|number| backend(&root, number, checks))
+            .collect();
         fs::write(root.join("fleet.key"), FLEET_KEY).unwrap();
         let mut routers = Vec::new();
         for (at, place) in PLACES.iter().enumerate() {
-            let router = router(&root, at, *place, &mut ports, store.addr, &limits);
+            let router = router(&root, at, *place, &mut ports, store.addr, limits);
             list(&store, &router, *place).await;
             routers.push(router);
         }
@@ -105,6 +117,7 @@
             routers,
             backends,
             store,
+            checks,
             dir: root,
             _ports: ports,
             _turn: turn,
@@ -143,7 +156,7 @@
             })
             .collect();
         json!({
-            "name": name, "keyed": true, "checks_fences": true, "groups": 16,
+            "name": name, "keyed": true, "checks_fences": self.checks, "groups": 16,
             "shards": [{ "weight": 1 }], "backends": backends,
             "slots": 6, "connections": 110, "deadline_ms": 5000,
         })
@@ -234,10 +247,11 @@
     }
 }
 
-fn backend(dir: &Path, number: usize) -> Process {
+fn backend(dir: &Path, number: usize, checks: bool) -> Process {
+    let checks = if checks { "--checks" } else { "" };
     let record = dir.join(format!("b{number}.records"));
     Process::start(&format!(
-        "backend --service balance --id b{number} --listen 127.0.0.1:0 --checks --record {}",
+        "backend --service balance --id b{number} --listen 127.0.0.1:0 {checks} --record {}",
         record.display()
     ))
 }
--- a/crates/lab/tests/router_refusals.rs
+++ b/crates/lab/tests/router_refusals.rs
@@ -30,6 +30,8 @@
 const VERSION_4: &str = "f47ac10b-58cc-4372-a567-0e02b2c3d479";
 /// Longest time in which a connection must be answered or closed.
 const ANSWER_TIME: Duration = Duration::from_secs(20);
+/// Header fields that a request may have.
+const MOST_FIELDS: usize = 64;
 /// Refusals that must not become as many events.
 const FLOOD: usize = 200;
 /// Value that is no object of any kind.
@@ -84,6 +86,15 @@
         alive(&mut fleet).await;
     }
 
+    too_many_header_fields_are_refused(dir) {
+        let mut fleet = Fleet::start(&dir).await;
+        let fields = "x-field: x\r\n".repeat(MOST_FIELDS + 1);
+        let text = format!("GET {PATH} HTTP/1.1\r\n{fields}\r\n");
+        let answer = send(fleet.routers[0].caller, &text).await;
+        assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+        alive(&mut fleet).await;
+    }
+
     half_sent_requests_are_closed(dir) {
         let mut fleet = Fleet::with_limits(&dir, json!({ "body_idle_ms": IDLE_MS })).await;
         let caller = fleet.routers[0].caller;
