--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -23,7 +23,7 @@
 use tarragon_model::time::Instant;
 use tarragon_model::{key, shard};
 use tarragon_policy::budget::Budget;
-use tarragon_policy::placement::{self, Planner};
+use tarragon_policy::placement::Planner;
 use tarragon_policy::scheduler::{self, Scheduler};
 use tarragon_timeline::event::{Draft, Kind, Name};
 
@@ -33,6 +33,7 @@
 use crate::input::Now;
 use crate::occupancy::Occupancy;
 use crate::output::Output;
+use crate::policies::Policies;
 use crate::state::{Entry, NOBODY, State};
 
 /// Requests that one shard's leader answers for at a time, at most.
@@ -92,6 +93,8 @@
     pub config_version: u64,
     /// Whether an earlier leader may still have work running.
     pub succeeds: bool,
+    /// Policies to use.
+    pub policies: &'a Policies,
     /// Seeded fault: keys of a lost backend server move without waiting for the end of its work.
     pub no_regrant_wait: bool,
     /// Seeded fault: requests that are not idempotent are sent again after a broken connection.
@@ -109,6 +112,7 @@
     config_in_force: u64,
     scheduler: Scheduler,
     planner: Box<dyn Planner>,
+    policies: Policies,
     budget: Budget,
     health: Vec<Health>,
     standings: Vec<Option<Standing>>,
@@ -153,8 +157,9 @@
             first_group,
             config_version: setup.config_version,
             config_in_force: log.state().config_version,
-            scheduler: Scheduler::new(&settings(&service, &preset)),
-            planner: placement::create(placement::DEFAULT)?,
+            scheduler: Scheduler::new(&settings(&service, &preset, setup.policies)),
+            planner: setup.policies.planner()?,
+            policies: setup.policies.clone(),
             budget: Budget::new(preset.retry_percent),
             orphan_wait: Duration::from_millis(u64::from(service.orphan_ms)),
             health: Vec::new(),
@@ -292,8 +297,10 @@
     }
 
     fn accept_config(&mut self, now: Now, log: &mut Log<'_>) {
-        self.scheduler
-            .configure(now.at, &settings(&self.service, &self.preset));
+        self.scheduler.configure(
+            now.at,
+            &settings(&self.service, &self.preset, &self.policies),
+        );
         self.budget.configure(self.preset.retry_percent);
         let index = log.append(now.at, Entry::Config(self.config_version));
         self.effects
@@ -378,10 +385,10 @@
     }
 }
 
-fn settings(service: &Service, preset: &Preset) -> scheduler::Settings {
-    scheduler::Settings {
+fn settings(service: &Service, preset: &Preset, policies: &Policies) -> scheduler::Settings {
+    policies.applied(scheduler::Settings {
         classes: service.classes.clone(),
         preset: preset.clone(),
         ..scheduler::Settings::new(service.slots, service.connections)
-    }
+    })
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod occupancy;
 pub mod output;
 pub mod persist;
+pub mod policies;
 pub mod slot;
 pub mod state;
 pub mod trio;
--- a/crates/node/src/node/authority.rs
+++ b/crates/node/src/node/authority.rs
@@ -128,6 +128,7 @@
             config: &self.config,
             config_version: self.config_version,
             succeeds: fence > FIRST,
+            policies: &self.settings.policies,
             no_regrant_wait: self.settings.no_regrant_wait,
             resend_after_first_byte: self.settings.resend_after_first_byte,
         };
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -23,6 +23,7 @@
 use crate::input::{Input, Now};
 use crate::member::Members;
 use crate::output::Output;
+use crate::policies::Policies;
 use crate::slot::{Asks, Slot};
 
 /// What a node is made from.
@@ -32,6 +33,8 @@
     pub me: Peer,
     /// Addresses and place of this host.
     pub entry: host::Entry,
+    /// Policies to use.
+    pub policies: Policies,
     /// Seeded fault: keys of a lost backend server move without waiting for the end of its work.
     pub no_regrant_wait: bool,
     /// Seeded fault: requests that are not idempotent are sent again after a broken connection.
@@ -70,6 +73,7 @@
 /// use tarragon_model::time::Instant;
 /// use tarragon_node::input::{Input, Now};
 /// use tarragon_node::node::{Node, Settings};
+/// use tarragon_node::policies::Policies;
 ///
 /// let addr = "127.0.0.1:1".parse().unwrap();
 /// let entry = Entry {
@@ -85,6 +89,7 @@
 /// let settings = Settings {
 ///     me: Peer::new("h1".into(), 1),
 ///     entry,
+///     policies: Policies::default(),
 ///     no_regrant_wait: false,
 ///     resend_after_first_byte: false,
 /// };
--- a/crates/node/tests/common/hosts.rs
+++ b/crates/node/tests/common/hosts.rs
@@ -99,6 +99,7 @@
         let settings = Settings {
             me: host.peer(),
             entry: host.entry.clone(),
+            policies: tarragon_node::policies::Policies::default(),
             no_regrant_wait: false,
             resend_after_first_byte: false,
         };
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -4,9 +4,10 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use getopts::Options;
+use getopts::{Matches, Options};
 use tarragon_model::host::Peer;
 use tarragon_model::settings;
+use tarragon_node::policies::Policies;
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::unix_micros;
@@ -37,6 +38,8 @@
     Run {
         /// The settings file.
         settings: PathBuf,
+        /// Policies to use.
+        policies: Policies,
         /// Rule broken on purpose.
         flaw: Flaw,
     },
@@ -96,7 +99,20 @@
         .unwrap_or_else(|| "none".to_owned());
     let unknown = || Error::Usage(format!("unknown seeded fault {name:?}"));
     let flaw = Flaw::parse(&name).ok_or_else(unknown)?;
-    Ok(Action::Run { settings, flaw })
+    let policies = policies(&matches)?;
+    Ok(Action::Run {
+        settings,
+        policies,
+        flaw,
+    })
+}
+
+fn policies(matches: &Matches) -> Result<Policies, Error> {
+    let Some(name) = matches.opt_str("policy") else {
+        return Ok(Policies::default());
+    };
+    let unknown = || Error::Usage(format!("no policy named {name:?} is registered"));
+    Policies::named(&name).ok_or_else(unknown)
 }
 
 /// Returns the text that `--help` prints.
@@ -113,6 +129,12 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file, JSON with comments", "FILE");
+    options.optopt(
+        "",
+        "policy",
+        "use a registered policy by name, or `baseline` (experiments only)",
+        "NAME",
+    );
     options.optflag("", "check", "check the settings and end");
     options.optopt(
         "",
@@ -133,12 +155,16 @@
             settings::load(path)?.fleet_key()?;
             println!("{}: the settings are fine", path.display());
         }
-        Action::Run { settings, flaw } => serve(settings::load(settings)?, *flaw)?,
+        Action::Run {
+            settings,
+            policies,
+            flaw,
+        } => serve(settings::load(settings)?, policies.clone(), *flaw)?,
     }
     Ok(())
 }
 
-fn serve(settings: settings::Router, flaw: Flaw) -> Result<(), Error> {
+fn serve(settings: settings::Router, policies: Policies, flaw: Flaw) -> Result<(), Error> {
     let env = env_logger::Env::new().filter_or("TARRAGON_LOG", "warn");
     let _ = env_logger::Builder::from_env(env).try_init();
     let fleet_key = settings.fleet_key()?;
@@ -151,6 +177,7 @@
         me,
         control: commands,
         view,
+        policies,
         flaw,
     });
     let control = control::spawn(shared.clone(), inbox, publish)?;
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -198,6 +198,7 @@
         let settings = node::Settings {
             me: shared.me.clone(),
             entry: shared.entry(),
+            policies: shared.policies.clone(),
             no_regrant_wait: shared.flaw == crate::flaw::Flaw::NoRegrantWait,
             resend_after_first_byte: shared.flaw == crate::flaw::Flaw::ResendAfterFirstByte,
         };
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -7,6 +7,7 @@
 
 use tarragon_model::host::{self, Peer};
 use tarragon_model::settings;
+use tarragon_node::policies::Policies;
 use tarragon_timeline::event::Draft;
 use tarragon_timeline::journal::Journal;
 use tarragon_timeline::stamp::Stamp;
@@ -50,6 +51,8 @@
     pub stop: CancellationToken,
     /// Requests whose answer is not yet fully passed on.
     pub in_flight: Arc<AtomicUsize>,
+    /// Policies to use.
+    pub policies: Policies,
     /// Rule broken on purpose.
     pub flaw: Flaw,
     next_request: Arc<AtomicU64>,
@@ -102,6 +105,8 @@
     pub control: mpsc::Sender<Command>,
     /// What the control duty makes known.
     pub view: watch::Receiver<Arc<View>>,
+    /// Policies to use.
+    pub policies: Policies,
     /// Rule broken on purpose.
     pub flaw: Flaw,
 }
@@ -124,6 +129,7 @@
             close: CancellationToken::new(),
             stop: CancellationToken::new(),
             in_flight: Arc::new(AtomicUsize::new(0)),
+            policies: parts.policies,
             flaw: parts.flaw,
             next_request: Arc::new(AtomicU64::new(1)),
             tally: Arc::default(),
