Measure what control costs at growing sizes

The users ask for a page that gives, for each role, what it costs at 16,000 hosts, from measured slopes. Nothing measured them.

Ruled out: whole systems of real processes, since a few hundred processes say nothing of 16,000 hosts; a cluster simulator, which the users do not want; a counting allocator, which needs unsafe code, so memory is the growth of the resident set, taken first in the process.

--- /dev/null
+++ b/crates/lab/src/capacity/experiment/mod.rs
@@ -0,0 +1,52 @@
+//! The experiments, each of which measures a few related series.
+
+mod config;
+mod hosts;
+mod known;
+mod ledger;
+mod memory;
+mod owners;
+mod policy;
+mod requests;
+mod shards;
+mod storm;
+
+use super::options::Effort;
+use super::series::Series;
+use crate::error::Result;
+
+/// Hosts of the planned system.
+const HOSTS: f64 = 16_000.0;
+
+/// Shards of the planned system, one led by each host.
+const SHARDS: f64 = 16_000.0;
+
+/// Measures a few series.
+pub trait Experiment {
+    /// Returns what the experiment is about.
+    fn name(&self) -> &'static str;
+
+    /// Measures.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a message cannot be encoded or decoded.
+    fn run(&self, effort: Effort) -> Result<Vec<Series>>;
+}
+
+/// Returns all experiments; those that read the process's memory come first.
+#[must_use]
+pub fn all() -> Vec<Box<dyn Experiment>> {
+    vec![
+        Box::new(memory::Memory),
+        Box::new(ledger::Ledger),
+        Box::new(hosts::Hosts),
+        Box::new(known::Known),
+        Box::new(shards::Shards),
+        Box::new(requests::Requests),
+        Box::new(storm::Storm),
+        Box::new(owners::Owners),
+        Box::new(policy::Policy),
+        Box::new(config::Config),
+    ]
+}
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -8,7 +8,7 @@
 
 use crate::error::{Error, Result};
 use crate::faults::Kind;
-use crate::{demo, options, run, sweep};
+use crate::{capacity, demo, options, run, sweep};
 
 /// Exit code for a promise that broke or a run that failed.
 const FAILED: u8 = 1;
@@ -21,6 +21,7 @@
 Commands:
   run      run a whole system on loopback and judge the promises
   sweep    run for several seeds, one after the other
+  capacity measure what control costs at growing sizes (--out DIR, --quick)
   demo     show a small system that survives the loss of a host and a backend server
   standin  run a stand-in: store, backend or links
   router   run a router (tarragon-router)
@@ -35,6 +36,7 @@
     match args.first().map(String::as_str) {
         Some("run") => finish(run_command(rest)),
         Some("sweep") => finish(sweep_command(rest)),
+        Some("capacity") => finish(capacity_command(rest)),
         Some("demo") => finish(demo_command(rest)),
         Some("standin") => standin_command(rest),
         Some("router") => tarragon_router::cli::run(rest),
@@ -85,6 +87,14 @@
     interruptible(async |stop| sweep::sweep(&options, &stop).await)
 }
 
+fn capacity_command(args: &[String]) -> Result<bool> {
+    let Some(options) = capacity::options::parse(args)? else {
+        println!("{}", capacity::options::usage());
+        return Ok(true);
+    };
+    capacity::run(&options).map(|()| true)
+}
+
 fn standin_command(args: &[String]) -> ExitCode {
     let _ = env_logger::try_init();
     crate::standin::command(args)
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! process for each host on loopback, puts load on them, injects faults and judges the promises
 //! from the backend servers' records and the callers' log.
 
+pub mod capacity;
 pub mod cli;
 pub mod client;
 pub mod clock;
