Let a leader without a lease go on through the store

Ruled out: the lease crate, which allows the proposal. Change: leaders are looked at whether or not their lease holds.

--- a/crates/lab/src/capacity/fixture.rs
+++ b/crates/lab/src/capacity/fixture.rs
@@ -90,6 +90,7 @@
 #[must_use]
 pub fn node(index: usize) -> Node {
     let settings = Settings {
+        policies: tarragon_node::policies::Policies::default(),
         me: peer(index),
         entry: entry(index),
         no_regrant_wait: false,
--- a/crates/node/src/node/repair.rs
+++ b/crates/node/src/node/repair.rs
@@ -52,7 +52,8 @@
         }
         if slot.record.is_none() {
             self.create(now, id, out);
-        } else if slot.is_acting(now.at) {
+        } else if slot.is_acting(now.at) || slot.is_leader() {
+            // A leader without a lease goes on through the store once both standbys are gone.
             self.repair(now, id, out);
         } else {
             self.adopt_orphan(now, id, out);
