Let one suspect at a time run until its trial is over

Cause: a connection that broke under a suspect freed its slot at once, so the next suspect started and was recorded as the one that runs alone before the crash of the first was confirmed. The first was then not blamed a second time and crashed a third backend server. A request that waited for its slot while it came under suspicion was not looked at again, and a suspect whose deadline passed while its dispatch was being recorded stayed the one that runs. Change: the engine looks at the quarantine and at trials when a slot is given, and holds suspects until the one that runs has ended its trial.

--- a/crates/node/src/engine/crash.rs
+++ b/crates/node/src/engine/crash.rs
@@ -3,11 +3,12 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use smallvec::SmallVec;
-use tarragon_ledger::quarantine;
+use tarragon_ledger::quarantine::{self, Verdict as Suspicion};
+use tarragon_model::outcome::Reason;
 use tarragon_model::time::Instant;
+use tarragon_policy::scheduler::Ending as SlotEnding;
 use tarragon_timeline::event::{Kind, Name};
 
-use super::intake::suspect_stopped;
 use super::{Engine, Log};
 use crate::input::Now;
 use crate::output::Output;
@@ -124,6 +125,30 @@
             .any(|trial| trial.fingerprints.contains(&fingerprint))
     }
 
+    /// Gives the slot of a request back that came under suspicion while it waited, or that must
+    /// not run beside the suspect that runs alone, until that one's trial is over.
+    pub(super) fn is_stopped_by_suspicion(
+        &mut self,
+        now: Now,
+        id: u64,
+        fingerprint: u64,
+        out: &mut Vec<Output>,
+        log: &Log<'_>,
+    ) -> bool {
+        let quarantine = &log.state().quarantine;
+        let suspicion = quarantine.check(fingerprint);
+        let waits = suspicion == Suspicion::Alone && quarantine.running().is_some();
+        let stopped = waits || suspicion == Suspicion::Refused || self.is_on_trial(fingerprint);
+        if stopped {
+            self.scheduler.complete(now.at, id, SlotEnding::Cancelled);
+            self.hold(id);
+            if suspicion == Suspicion::Refused {
+                self.refuse(id, Reason::Quarantined, out);
+            }
+        }
+        stopped
+    }
+
     /// The backend server answered a question asked at `asked`, so it did not crash before that.
     pub(super) fn acquit(
         &mut self,
@@ -178,3 +203,11 @@
         }
     }
 }
+
+/// Records that a suspect which ran alone ended without a crash and without success.
+pub(super) fn suspect_stopped(now: Now, fingerprint: u64, log: &mut Log<'_>) {
+    if log.state().quarantine.running() == Some(fingerprint) {
+        let entry = quarantine::Entry::Stopped { fingerprint };
+        log.append(now.at, Entry::Quarantine(entry));
+    }
+}
--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -6,6 +6,7 @@
 use tarragon_policy::scheduler::{Action, Ending as SlotEnding, Request, Target};
 use tarragon_timeline::event::{Kind, Name};
 
+use super::crash::suspect_stopped;
 use super::{Effect, Engine, Log, MAX_FLIGHTS};
 use crate::flight::{Flight, Phase};
 use crate::health::Standing;
@@ -139,7 +140,9 @@
             self.refuse(id, Reason::Quarantined, out);
             return;
         }
-        let Some(target) = self.target(&submission) else {
+        let waits = suspicion == Suspicion::Alone && log.state().quarantine.running().is_some();
+        let target = self.target(&submission).filter(|_| !waits);
+        let Some(target) = target else {
             self.hold(id);
             return;
         };
@@ -244,6 +247,9 @@
         flight.backend = backend;
         flight.phase = Phase::Recording;
         let submission = flight.submission.clone();
+        if self.is_stopped_by_suspicion(now, id, submission.fingerprint, out, log) {
+            return;
+        }
         if let Some(other) = self.spread.instead(submission.fingerprint, backend) {
             self.redirect(now, id, other);
             return;
@@ -324,8 +330,9 @@
             return;
         };
         if flight.cancelled || now.at >= flight.submission.deadline {
-            self.spread
-                .leave(flight.submission.fingerprint, flight.backend);
+            let fingerprint = flight.submission.fingerprint;
+            self.spread.leave(fingerprint, flight.backend);
+            suspect_stopped(now, fingerprint, log);
             self.give_back(now, id, SlotEnding::Cancelled);
             self.not_run(now, id, log);
             self.refuse(id, Reason::Deadline, out);
@@ -381,11 +388,3 @@
         }
     }
 }
-
-/// Records that a suspect which ran alone ended without a crash and without success.
-pub(super) fn suspect_stopped(now: Now, fingerprint: u64, log: &mut Log<'_>) {
-    if log.state().quarantine.running() == Some(fingerprint) {
-        let entry = quarantine::Entry::Stopped { fingerprint };
-        log.append(now.at, Entry::Quarantine(entry));
-    }
-}
--- a/crates/node/src/engine/results.rs
+++ b/crates/node/src/engine/results.rs
@@ -6,7 +6,7 @@
 use tarragon_policy::scheduler::Ending as SlotEnding;
 use tarragon_timeline::event::{Kind, Name};
 
-use super::intake::suspect_stopped;
+use super::crash::suspect_stopped;
 use super::{Engine, Log};
 use crate::flight::{Flight, Phase};
 use crate::health::Change;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -83,8 +83,10 @@
     /// Rebuilds what the store's record keeps of a shard; the memory of requests is lost.
     #[must_use]
     pub fn from_record(record: &Record, first_group: u32, groups: u32) -> Self {
-        let mut state = Self::default();
-        state.owners = vec![NOBODY; groups as usize];
+        let mut state = Self {
+            owners: vec![NOBODY; groups as usize],
+            ..Self::default()
+        };
         for run in &record.owners {
             let backend = state.position_of(&run.backend);
             for group in run.from.0..=run.to.0 {
