--- a/crates/node/tests/common/caller.rs
+++ b/crates/node/tests/common/caller.rs
@@ -201,6 +201,13 @@
         }
     }
 
+    /// Callers give up requests that crash backend servers when the faults end.
+    pub fn resend(&mut self, call: usize) {
+        if !self.calls[call].poison || self.now < self.quiet_since {
+            self.attempt(call);
+        }
+    }
+
     pub fn give_up(&mut self, attempt: usize) {
         if self.attempts[attempt].answer.is_some() {
             return;
--- a/crates/node/tests/common/fault.rs
+++ b/crates/node/tests/common/fault.rs
@@ -44,6 +44,7 @@
             }
             Fault::Drain(host) => {
                 let process = self.hosts[host].process;
+                self.hosts[host].leaving = true;
                 self.later(0, What::input(process, Input::Drain));
             }
             Fault::DeclareHost(host) => self.declare_host(host),
@@ -103,6 +104,7 @@
         self.cuts.clear();
         self.loss = 0;
         self.late_sends = 0;
+        self.poison = 0;
         self.store.lost_answers = 0;
         self.set_store(false);
         for host in 0..self.hosts.len() {
