--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -6,6 +6,7 @@
 use tarragon_policy::scheduler::{Action, Ending as SlotEnding, Request, Target};
 use tarragon_timeline::event::{Kind, Name};
 
+use super::crash::suspect_stopped;
 use super::{Effect, Engine, Log, MAX_FLIGHTS};
 use crate::flight::{Flight, Phase};
 use crate::health::Standing;
@@ -139,11 +140,9 @@
             self.refuse(id, Reason::Quarantined, out);
             return;
         }
-        if must_wait(&submission, log) {
-            self.hold(id);
-            return;
-        }
-        let Some(target) = self.target(&submission) else {
+        let waits = suspicion == Suspicion::Alone && log.state().quarantine.running().is_some();
+        let target = self.target(&submission).filter(|_| !waits);
+        let Some(target) = target else {
             self.hold(id);
             return;
         };
@@ -207,6 +206,16 @@
         }
     }
 
+    /// Tells whether work of the key may still run on a lost backend server.
+    fn is_bound_to_lost(&self, key: tarragon_model::key::Hash) -> bool {
+        let mut lost = self
+            .health
+            .iter()
+            .enumerate()
+            .filter(|(_, health)| health.standing() == Standing::Lost);
+        lost.any(|(position, _)| self.occupancy.is_on(key, super::backends::index(position)))
+    }
+
     /// Says why a request cannot run now.
     pub(super) fn why_held(&self, submission: &Submission) -> Reason {
         if !self.service.keyed {
@@ -215,6 +224,7 @@
         let owner = self.owner_of(submission.group, submission.key);
         match self.health.get(usize::from(owner)) {
             Some(health) if health.standing() == Standing::Lost => Reason::OwnerLost,
+            Some(_) if self.is_bound_to_lost(submission.key) => Reason::OwnerLost,
             Some(_) if self.occupancy.is_elsewhere(submission.key, owner) => Reason::OwnerMoving,
             _ => Reason::NoBackend,
         }
@@ -268,13 +278,11 @@
         flight.backend = backend;
         flight.phase = Phase::Recording;
         let submission = flight.submission.clone();
-        if let Some(other) = self.spread.instead(submission.fingerprint, backend) {
-            self.redirect(now, id, other);
+        if self.is_stopped_by_suspicion(now, id, submission.fingerprint, out, log) {
             return;
         }
-        if must_wait(&submission, log) {
-            self.scheduler.complete(now.at, id, SlotEnding::Cancelled);
-            self.hold(id);
+        if let Some(other) = self.spread.instead(submission.fingerprint, backend) {
+            self.redirect(now, id, other);
             return;
         }
         self.spread.enter(submission.fingerprint, backend);
@@ -353,8 +361,9 @@
             return;
         };
         if flight.cancelled || now.at >= flight.submission.deadline {
-            self.spread
-                .leave(flight.submission.fingerprint, flight.backend);
+            let fingerprint = flight.submission.fingerprint;
+            self.spread.leave(fingerprint, flight.backend);
+            suspect_stopped(now, fingerprint, log);
             self.give_back(now, id, SlotEnding::Cancelled);
             self.not_run(now, id, log);
             self.refuse(id, Reason::Deadline, out);
@@ -411,22 +420,3 @@
         }
     }
 }
-
-/// Records that a suspect which ran alone ended without a crash and without success.
-pub(super) fn suspect_stopped(now: Now, fingerprint: u64, log: &mut Log<'_>) {
-    if log.state().quarantine.running() == Some(fingerprint) {
-        let entry = quarantine::Entry::Stopped { fingerprint };
-        log.append(now.at, Entry::Quarantine(entry));
-    }
-}
-
-/// Tells whether a suspect has to wait because another one runs, or ran on a backend server that
-/// may have crashed: with two at a time a crash could not be told from the other's.
-fn must_wait(submission: &Submission, log: &Log<'_>) -> bool {
-    let quarantine = &log.state().quarantine;
-    let suspect = quarantine.check(submission.fingerprint) == Suspicion::Alone;
-    suspect
-        && quarantine
-            .running()
-            .is_some_and(|other| other != submission.fingerprint)
-}
--- a/crates/node/src/node/authority.rs
+++ b/crates/node/src/node/authority.rs
@@ -1,5 +1,6 @@
 //! Carrying out what the lease protocol asks for.
 
+use tarragon_lease::member::Role;
 use tarragon_lease::output::Output as LeaseOutput;
 use tarragon_ledger::ledger;
 use tarragon_model::fence::Fence;
@@ -50,7 +51,9 @@
                         .with(Name::Fence, fence)
                         .with(Name::Reason, reason);
                     out.push(Output::Event(draft));
-                    self.dismiss(id, out);
+                    if !self.goes_on(id, fence) {
+                        self.dismiss(id, out);
+                    }
                 }
                 LeaseOutput::Committed { index } => {
                     self.with_engine(now, id, out, |engine, out, log| {
@@ -141,6 +144,15 @@
         self.carry_out(now, id, asks, out);
     }
 
+    /// Tells whether this process leads the epoch right after that of an ended reign: it proposed
+    /// that epoch itself, so nobody else led in between and its engine goes on.
+    fn goes_on(&self, id: &shard::Id, ended: Fence) -> bool {
+        let member = self.slots.get(id).and_then(|slot| slot.member.as_ref());
+        member.is_some_and(|member| {
+            member.role() == Role::Leader && member.fence() == Fence::new(ended.epoch + 1, 0)
+        })
+    }
+
     /// Ends this process's leadership of a shard.
     fn dismiss(&mut self, id: &shard::Id, out: &mut Vec<Output>) {
         let Some(slot) = self.slots.get_mut(id) else {
--- a/crates/node/src/occupancy.rs
+++ b/crates/node/src/occupancy.rs
@@ -64,6 +64,13 @@
         occupants.is_some_and(|list| list.iter().any(|one| one.backend != owner))
     }
 
+    /// Tells whether work of the key may run on a backend server.
+    #[must_use]
+    pub fn is_on(&self, key: key::Hash, backend: u16) -> bool {
+        let occupants = self.keys.get(&key);
+        occupants.is_some_and(|list| list.iter().any(|one| one.backend == backend))
+    }
+
     /// Counts the keys with orphans on a backend server.
     #[must_use]
     pub fn orphaned_keys(&self, backend: u16) -> usize {
--- a/crates/node/tests/common/backend.rs
+++ b/crates/node/tests/common/backend.rs
@@ -205,7 +205,7 @@
                     backend,
                     result,
                 };
-                self.later(PATIENCE, What::Input(process, input));
+                self.later(PATIENCE, What::input(process, input));
                 Job::Probe {
                     process,
                     shard,
@@ -228,7 +228,7 @@
                     backend,
                     result,
                 };
-                self.later(PATIENCE, What::Input(process, input));
+                self.later(PATIENCE, What::input(process, input));
                 Job::Grant {
                     process,
                     shard,
@@ -244,7 +244,7 @@
 
     fn back(&mut self, process: Process, input: Input) {
         let delay = self.rng.random_range(200..4_000);
-        self.later(delay, What::Input(process, input));
+        self.later(delay, What::input(process, input));
     }
 
     fn begin(&mut self, position: usize, mut work: Work) {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod fault;
 pub mod hosts;
 pub mod setup;
+pub mod shell;
 pub mod store;
 
 use std::collections::{BTreeSet, BinaryHeap};
@@ -165,7 +166,7 @@
         }
         match what {
             What::Tick(process) => self.tick(process),
-            What::Input(process, input) => self.input(process, input),
+            What::Input(process, input) => self.input(process, *input),
             What::Deliver { to, from, message } => self.deliver(to, from, *message),
             What::Send { process, id, order } => self.send(process, id, order),
             What::Handed {
@@ -208,7 +209,7 @@
             What::Restart(backend) => self.restart(backend),
             What::Call => self.call_some(),
             What::Arrive { host, attempt, hop } => self.arrive(host, attempt, hop),
-            What::Resend(call) => self.attempt(call),
+            What::Resend(call) => self.resend(call),
             What::GiveUp(attempt) => self.give_up(attempt),
             What::Fault(fault) => self.fault(fault),
             What::Check => {
