--- a/crates/timeline/src/merge.rs
+++ b/crates/timeline/src/merge.rs
@@ -61,7 +61,7 @@
 /// let mut answerer = Journal::new("h2".into(), 9);
 /// let asked = asker.push(Draft::new(Kind::SuccessionAsked), 5_000);
 /// answerer.observe(10, asked.stamp);
-/// answerer.push(Draft::new(Kind::Yielded), 10);
+/// answerer.push(Draft::new(Kind::SuccessionAsked), 10);
 /// let line = merge(vec![answerer.after(0, 9).0, asker.after(0, 9).0]);
 /// assert_eq!(line[0].kind, Kind::SuccessionAsked);
 /// ```
