Let a leaving leader and a leaving standby take part in the repair of a trio

Cause: a leader that was itself leaving left itself out of the candidates, so its proposal was malformed; and a trio whose only answering standby was leaving proposed two others, which nobody could seal. Ruled out: a stuck update of the record (the log showed the refused proposals). Change: the leader counts itself in; a leaving standby that is the only one to answer stays for one more epoch.

--- a/crates/node/src/node/repair.rs
+++ b/crates/node/src/node/repair.rs
@@ -125,9 +125,15 @@
         {
             return;
         }
-        let candidates = self.candidates(now, &silent);
+        // One standby that answers must stay, also when it is leaving, or nobody could seal.
+        let answers = |peer: &&Peer| !silent.contains(peer) && !self.members.is_gone(peer);
+        let stays = standbys.iter().find(answers).filter(|_| keep.is_empty());
+        let first = handover.as_ref().or(stays).cloned();
+        let mut candidates = self.candidates(now, &silent);
+        candidates.extend(self.draining.map(|_| self.own_candidate()));
+        candidates.extend(stays.and_then(|peer| self.candidate(peer)));
         let me = self.settings.me.clone();
-        let trio = self.choose(id, Some(&me), handover.as_ref(), &keep, &candidates);
+        let trio = self.choose(id, Some(&me), first.as_ref(), &keep, &candidates);
         if let Some(trio) = trio {
             self.propose(now, id, trio, out);
         }
@@ -279,26 +285,37 @@
 
     /// Returns the processes that may be chosen, this one included.
     fn candidates(&self, now: Now, without: &[Peer]) -> Vec<Candidate> {
+        let own = (self.draining.is_none()).then(|| self.own_candidate());
+        let others = self
+            .members
+            .live(now.at)
+            .filter_map(|known| self.candidate(&known.heard.as_ref()?.peer));
+        own.into_iter()
+            .chain(others)
+            .filter(|one| !without.contains(&one.peer))
+            .collect()
+    }
+
+    fn own_candidate(&self) -> Candidate {
         let entry = &self.settings.entry;
-        let own = (self.draining.is_none()).then(|| Candidate {
+        Candidate {
             peer: self.settings.me.clone(),
             region: entry.region.clone(),
             failure_domain: entry.failure_domain.clone(),
             leads: self.directory.count(&self.settings.me),
-        });
-        let others = self.members.live(now.at).filter_map(|known| {
-            let heard = known.heard.as_ref()?;
-            Some(Candidate {
-                peer: heard.peer.clone(),
-                region: known.entry.region.clone(),
-                failure_domain: known.entry.failure_domain.clone(),
-                leads: heard.leads,
-            })
-        });
-        own.into_iter()
-            .chain(others)
-            .filter(|one| !without.contains(&one.peer))
-            .collect()
+        }
+    }
+
+    fn candidate(&self, peer: &Peer) -> Option<Candidate> {
+        let mut known = self.members.all();
+        let known = known.find(|known| known.entry.id == peer.host)?;
+        let leads = known.heard.as_ref().map_or(0, |heard| heard.leads);
+        Some(Candidate {
+            peer: peer.clone(),
+            region: known.entry.region.clone(),
+            failure_domain: known.entry.failure_domain.clone(),
+            leads,
+        })
     }
 
     fn choose(
