Look hosts up by name; build records without copying the state

Ruled out: nothing. Change: lookups by name, a set of listed names, records built from a borrowed state.

--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -1,6 +1,6 @@
 //! The router processes that this process knows of.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tarragon_model::host::{self, Peer};
@@ -52,10 +52,9 @@
                     heard: None,
                 });
         }
-        self.known.retain(|id, known| {
-            let listed = entries.iter().any(|entry| entry.id == *id);
-            listed || known.is_live(now)
-        });
+        let listed: BTreeSet<&host::Id> = entries.iter().map(|entry| &entry.id).collect();
+        self.known
+            .retain(|id, known| listed.contains(id) || known.is_live(now));
     }
 
     /// Takes in a sign of life and returns the earlier run that it proves ended, if any.
@@ -115,6 +114,12 @@
         Some(&self.known.get(host)?.heard.as_ref()?.peer)
     }
 
+    /// Returns what is known of a host.
+    #[must_use]
+    pub fn get(&self, host: &host::Id) -> Option<&Known> {
+        self.known.get(host)
+    }
+
     /// Returns all known hosts.
     pub fn all(&self) -> impl Iterator<Item = &Known> {
         self.known.values()
--- a/crates/node/src/node/authority.rs
+++ b/crates/node/src/node/authority.rs
@@ -41,7 +41,7 @@
                     };
                     self.send(&to, Message::Lease(lease), out);
                 }
-                LeaseOutput::Write { epoch, trio } => self.write_trio(now, id, epoch, trio, out),
+                LeaseOutput::Write { epoch, trio } => self.write_trio(id, epoch, trio, out),
                 LeaseOutput::Began { fence, complete } => {
                     self.began(now, id, fence, complete, out);
                 }
--- a/crates/node/src/node/gossip.rs
+++ b/crates/node/src/node/gossip.rs
@@ -104,7 +104,7 @@
 
     /// Sends a message to a process whose address is known.
     pub(super) fn send(&self, to: &Peer, message: Message, out: &mut Vec<Output>) {
-        let known = self.members.all().find(|known| known.entry.id == to.host);
+        let known = self.members.get(&to.host);
         if let Some(known) = known {
             out.push(Output::Send {
                 to: known.entry.peer_addr,
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -216,10 +216,7 @@
             if lead.leader == self.settings.me {
                 return Some((&lead.shard, Route::Here));
             }
-            let known = self
-                .members
-                .all()
-                .find(|known| known.entry.id == lead.leader.host)?;
+            let known = self.members.get(&lead.leader.host)?;
             Some((&lead.shard, Route::There(known.entry.forward_addr)))
         })
     }
--- a/crates/node/src/node/repair.rs
+++ b/crates/node/src/node/repair.rs
@@ -73,7 +73,7 @@
         let leader = self.founding_leader(id, &candidates);
         if let Some(trio) = self.choose(id, leader.as_ref(), None, &[], &candidates) {
             self.put_off_repair(now, id);
-            self.write_new(now, id, &trio, out);
+            self.write_new(id, &trio, out);
         }
     }
 
@@ -200,7 +200,7 @@
                 .with(Name::Reason, "all of the trio are gone");
             out.push(Output::Event(draft));
             self.put_off_repair(now, id);
-            self.write_new(now, id, &trio, out);
+            self.write_new(id, &trio, out);
         }
     }
 
@@ -307,8 +307,7 @@
     }
 
     fn candidate(&self, peer: &Peer) -> Option<Candidate> {
-        let mut known = self.members.all();
-        let known = known.find(|known| known.entry.id == peer.host)?;
+        let known = self.members.get(&peer.host)?;
         let leads = known.heard.as_ref().map_or(0, |heard| heard.leads);
         Some(Candidate {
             peer: peer.clone(),
--- a/crates/node/src/node/writes.rs
+++ b/crates/node/src/node/writes.rs
@@ -25,7 +25,6 @@
     /// Starts the update that the lease protocol asks for, after the one in progress if any.
     pub(super) fn write_trio(
         &mut self,
-        now: Now,
         id: &shard::Id,
         epoch: u64,
         trio: Trio,
@@ -39,24 +38,16 @@
             return;
         }
         let fence = Fence::new(epoch, 0);
-        let state = self.state_of(id).cloned().unwrap_or_default();
-        self.start_update(
-            now,
-            id,
-            Purpose::Trio(trio.clone()),
-            (fence, &trio, &state),
-            out,
-        );
+        let draft = self.draft(id);
+        let record = match self.state_of(id) {
+            Some(state) => draft.record(fence, &trio, state),
+            None => draft.record(fence, &trio, &State::default()),
+        };
+        self.start_update(id, Purpose::Trio(trio), record, out);
     }
 
     /// Writes the record of a shard that has none, or whose trio is all gone.
-    pub(super) fn write_new(
-        &mut self,
-        now: Now,
-        id: &shard::Id,
-        trio: &Trio,
-        out: &mut Vec<Output>,
-    ) {
+    pub(super) fn write_new(&mut self, id: &shard::Id, trio: &Trio, out: &mut Vec<Output>) {
         let Some(slot) = self.slots.get(id) else {
             return;
         };
@@ -64,7 +55,8 @@
         let state = slot.record.as_ref().map_or_else(State::default, |record| {
             State::from_record(record, slot.groups.0, slot.groups.1)
         });
-        self.start_update(now, id, Purpose::Create, (fence, trio, &state), out);
+        let record = self.draft(id).record(fence, trio, &state);
+        self.start_update(id, Purpose::Create, record, out);
     }
 
     /// Writes changed owners, if any.
@@ -83,32 +75,33 @@
         }
         slot.next_write = now.at + OWNERS_EVERY;
         let trio = record.trio.clone();
-        let Some(member) = &slot.member else {
-            return;
-        };
-        let (fence, state) = (member.fence(), member.state().clone());
-        self.start_update(now, id, Purpose::Owners, (fence, &trio, &state), out);
+        let draft = self.draft(id);
+        let member = self.slots.get(id).and_then(|slot| slot.member.as_ref());
+        if let Some(member) = member {
+            let record = draft.record(member.fence(), &trio, member.state());
+            self.start_update(id, Purpose::Owners, record, out);
+        }
+    }
+
+    fn draft(&mut self, id: &shard::Id) -> Draft {
+        self.updates += 1;
+        let slot = self.slots.get(id);
+        Draft {
+            token: format!("{}-{}", self.settings.me, self.updates),
+            first_group: slot.map_or(0, |slot| slot.groups.0),
+        }
     }
 
     fn start_update(
         &mut self,
-        _now: Now,
         id: &shard::Id,
         purpose: Purpose,
-        (fence, trio, state): (Fence, &Trio, &State),
+        record: Record,
         out: &mut Vec<Output>,
     ) {
-        self.updates += 1;
         let Some(slot) = self.slots.get_mut(id) else {
             return;
         };
-        let writer = &self.settings.me;
-        let draft = Draft {
-            writer,
-            number: self.updates,
-            first_group: slot.groups.0,
-        };
-        let record = draft.record(fence.epoch, fence, trio, state);
         slot.update = Some(Update {
             purpose,
             record: record.clone(),
@@ -255,7 +248,7 @@
             .is_some_and(tarragon_lease::Member::is_proposing)
         {
             let epoch = slot.epoch() + 1;
-            self.write_trio(now, id, epoch, trio, out);
+            self.write_trio(id, epoch, trio, out);
         }
     }
 }
--- a/crates/node/src/persist.rs
+++ b/crates/node/src/persist.rs
@@ -1,8 +1,6 @@
 //! Writing a shard's record to the store, one update at a time.
 
-use tarragon_lease::state::State as _;
 use tarragon_model::fence::Fence;
-use tarragon_model::host::Peer;
 use tarragon_model::record::{Record, Trio};
 
 use crate::state::State;
@@ -27,36 +25,27 @@
     pub record: Record,
 }
 
-/// Builds records with a token that no other update carries.
+/// Builds a record with a token that no other update carries.
 #[derive(Debug)]
-pub struct Draft<'a> {
-    /// The writing process.
-    pub writer: &'a Peer,
-    /// Number of the update within the process.
-    pub number: u64,
+pub struct Draft {
+    /// Unique text of the update.
+    pub token: String,
     /// First group of the shard.
     pub first_group: u32,
 }
 
-impl Draft<'_> {
-    /// Builds the record of an epoch from the shard's state.
+impl Draft {
+    /// Builds the record of a reign from the shard's state.
     #[must_use]
-    pub fn record(&self, epoch: u64, fence: Fence, trio: &Trio, state: &State) -> Record {
+    pub fn record(self, fence: Fence, trio: &Trio, state: &State) -> Record {
         Record {
-            epoch,
+            epoch: fence.epoch,
             fence,
             index: state.changes,
-            token: format!("{}-{}", self.writer, self.number),
+            token: self.token,
             trio: trio.clone(),
             owners: state.owners_for_record(self.first_group),
             overrides: state.overrides_for_record(),
         }
     }
 }
-
-/// Rebuilds a state by applying entries to it, for the owners of a new shard.
-pub fn apply_all(state: &mut State, entries: &[crate::state::Entry]) {
-    for entry in entries {
-        state.apply(entry);
-    }
-}
