--- a/crates/lab/src/capacity/experiment/owners.rs
+++ b/crates/lab/src/capacity/experiment/owners.rs
@@ -71,12 +71,11 @@
 
 fn draft(state: &State) -> tarragon_model::record::Record {
     let draft = Draft {
-        writer: &fixture::peer(0),
-        number: 1,
+        token: "h0-1".to_owned(),
         first_group: 0,
     };
     let trio = fixture::record([0, 1, 2]).trio;
-    draft.record(1, Fence::new(1, 0), &trio, state)
+    draft.record(Fence::new(1, 0), &trio, state)
 }
 
 fn kilobytes(state: &State) -> Result<f64> {
