--- /dev/null
+++ b/crates/dispatch/src/fleet.rs
@@ -0,0 +1,406 @@
+//! What a host believes about backend servers, and which one it sends a request to.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tarragon_model::time::Instant;
+
+mod belief;
+
+use self::belief::Belief;
+pub use self::belief::{Load, Seen, Verdict};
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Identifier of the backend server.
+    pub id: String,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Service whose requests it runs.
+    pub service: String,
+    /// Address that takes requests.
+    pub addr: SocketAddr,
+    /// Failure domain in which it stands.
+    pub zone: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Time for which it stays slow after its start.
+    pub cold: Duration,
+}
+
+/// Whether a backend server takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It does.
+    Ready,
+    /// It is leaving, or its entry is gone, as this host learnt at that time.
+    Leaving(Instant),
+}
+
+/// Backend server as this host sees it.
+#[derive(Debug)]
+pub struct Server {
+    /// What it says of itself.
+    pub entry: Entry,
+    /// Whether it takes new requests.
+    pub standing: Standing,
+    /// Revision of the store that last changed the entry.
+    pub revision: u64,
+    learnt: Instant,
+    present: bool,
+    lapsing: Option<Instant>,
+    belief: Belief,
+}
+
+/// What a new entry changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The backend server was not known.
+    New,
+    /// It started anew: it knows nothing of before.
+    Reborn,
+    /// It takes requests, or ceased to.
+    Standing,
+    /// Nothing that matters here.
+    None,
+}
+
+/// Where this host stands, and what it may spend.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Failure domain of the host.
+    pub zone: String,
+    /// Region of each failure domain.
+    pub regions: HashMap<String, String>,
+}
+
+/// A request that needs a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Service that runs it.
+    pub service: &'a str,
+    /// Backend servers that it was sent to before.
+    pub tried: &'a [String],
+    /// Time that its caller still waits.
+    pub left: Duration,
+    /// Rank of its route, 0 the highest.
+    pub rank: u32,
+    /// Number between 0 and 1 that spreads equal choices.
+    pub dice: f64,
+}
+
+/// Backend server that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Identifier of the backend server.
+    pub id: String,
+    /// Start of its process.
+    pub born: u64,
+    /// Address that takes requests.
+    pub addr: SocketAddr,
+}
+
+/// Why no backend server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The service has no backend server that takes requests.
+    Nobody,
+    /// All are so full that the answer would come too late; try again after this time.
+    Busy(Duration),
+}
+
+/// Time for which an entry that lapsed while the store was away may still come back.
+const RETURN_TIME: Duration = Duration::from_millis(2_300);
+/// Time for which a backend server that left is remembered, for requests that still run there.
+const REMEMBER: Duration = Duration::from_secs(20);
+/// Part of the time left that the expected finish may take, for the highest rank.
+const TIME_PART: f64 = 0.9;
+/// How much less of the time left each lower rank may count on.
+const RANK_STEP: f64 = 0.1;
+/// Ranks that differ in [`RANK_STEP`].
+const RANKS: u32 = 4;
+/// Part of the choices that go to a backend server which was never tried.
+const EXPLORE: f64 = 0.1;
+/// Spread of the noise that keeps hosts from choosing alike.
+const NOISE: f64 = 0.15;
+
+/// All backend servers that a host knows.
+#[derive(Debug)]
+pub struct Fleet {
+    place: Place,
+    servers: BTreeMap<String, Server>,
+    services: HashMap<String, belief::Norm>,
+}
+
+impl Fleet {
+    /// Creates an empty fleet for a host that stands at `place`.
+    #[must_use]
+    pub fn new(place: Place) -> Self {
+        Self {
+            place,
+            servers: BTreeMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes in what a backend server says of itself.
+    ///
+    /// An older revision than the one known changes nothing.
+    pub fn learn(&mut self, entry: Entry, revision: u64, now: Instant) -> Change {
+        let standing = if entry.draining {
+            Standing::Leaving(now)
+        } else {
+            Standing::Ready
+        };
+        let Some(known) = self.servers.get_mut(&entry.id) else {
+            let belief = Belief::new(now + entry.cold);
+            let server = Server {
+                standing,
+                revision,
+                learnt: now,
+                present: true,
+                lapsing: None,
+                belief,
+                entry,
+            };
+            self.servers.insert(server.entry.id.clone(), server);
+            return Change::New;
+        };
+        if revision < known.revision {
+            return Change::None;
+        }
+        known.revision = revision;
+        known.present = true;
+        known.lapsing = None;
+        let reborn = known.entry.born != entry.born || known.entry.addr != entry.addr;
+        let was_ready = known.standing == Standing::Ready;
+        if reborn {
+            known.belief = Belief::new(now + entry.cold);
+            known.learnt = now;
+        }
+        if reborn || was_ready != !entry.draining {
+            known.standing = standing;
+        }
+        known.entry = entry;
+        match (reborn, was_ready == (known.standing == Standing::Ready)) {
+            (true, _) => Change::Reborn,
+            (false, false) => Change::Standing,
+            (false, true) => Change::None,
+        }
+    }
+
+    /// Notes that the entry of a backend server is gone from the store at `revision`.
+    ///
+    /// With `lapse` the entry may have lapsed while the store was away: it counts as gone only
+    /// when it has not come back by [`Fleet::settle`].
+    pub fn forget(&mut self, id: &str, revision: u64, lapse: bool, now: Instant) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        if revision < server.revision || !server.present {
+            return false;
+        }
+        server.revision = revision;
+        if lapse && server.standing == Standing::Ready {
+            server.lapsing.get_or_insert(now + RETURN_TIME);
+            return false;
+        }
+        server.leave(now);
+        true
+    }
+
+    /// Ends the wait for lapsed entries and returns those that are gone now.
+    pub fn settle(&mut self, now: Instant) -> Vec<String> {
+        let mut gone = Vec::new();
+        for (id, server) in &mut self.servers {
+            if server.lapsing.is_some_and(|until| now >= until) {
+                server.leave(now);
+                gone.push(id.clone());
+            }
+        }
+        self.servers.retain(|_, server| match server.standing {
+            Standing::Leaving(since) if !server.present => now.since(since) < REMEMBER,
+            _ => true,
+        });
+        gone
+    }
+
+    /// Puts off the return of lapsed entries while the store is still away.
+    pub fn store_away(&mut self, now: Instant) {
+        for server in self.servers.values_mut() {
+            if server.lapsing.is_some() {
+                server.lapsing = Some(now + RETURN_TIME);
+            }
+        }
+    }
+
+    /// Returns the backend server of that identifier.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// Returns all backend servers, those that left not long ago among them.
+    pub fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Notes that a request goes to a backend server.
+    pub fn sent(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.belief.sent();
+        }
+    }
+
+    /// Notes how a request at a backend server ended.
+    pub fn ended(&mut self, id: &str, seen: Seen, now: Instant) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let norm = self
+            .services
+            .entry(server.entry.service.clone())
+            .or_default();
+        server.belief.ended(seen, norm, server.entry.slots, now);
+    }
+
+    /// Returns how much slower than its service's mean a backend server is, 1 for the mean.
+    #[must_use]
+    pub fn slowness(&self, id: &str) -> f64 {
+        self.servers
+            .get(id)
+            .map_or(1.0, |server| server.belief.slowness())
+    }
+
+    /// Returns the mean time of a service's requests at a backend server of mean speed.
+    #[must_use]
+    pub fn work(&self, service: &str) -> Duration {
+        let norm = self.services.get(service).copied().unwrap_or_default();
+        Duration::from_secs_f64(norm.work_ms / 1_000.0)
+    }
+
+    /// Chooses the backend server that is expected to end the request first.
+    ///
+    /// Far ones count as slower by what their answer's bytes cost on the way.
+    ///
+    /// # Errors
+    ///
+    /// Why none was chosen; the request has not been sent then.
+    pub fn pick(&self, ask: &Ask<'_>, now: Instant) -> Result<Pick, Refusal> {
+        let norm = self.services.get(ask.service).copied().unwrap_or_default();
+        let mut best: Option<(f64, f64, &Server)> = None;
+        for server in self.servers.values() {
+            if server.entry.service != ask.service || server.standing != Standing::Ready {
+                continue;
+            }
+            if server.belief.blocked(now) {
+                continue;
+            }
+            let untried = !ask.tried.contains(&server.entry.id);
+            if untried && server.belief.fresh() && ask.dice < EXPLORE {
+                return Ok(server.pick());
+            }
+            let finish = server.belief.finish(&norm, server.entry.slots, now);
+            let again = if untried { 1.0 } else { 4.0 };
+            let noise = 1.0 + NOISE * spread(ask.dice, &server.entry.id);
+            let cost = (finish + norm.far(self.distance(&server.entry.zone))) * again * noise;
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, finish, server));
+            }
+        }
+        let Some((_, finish, server)) = best else {
+            return Err(Refusal::Nobody);
+        };
+        let rank = f64::from(ask.rank.min(RANKS));
+        let part = TIME_PART - RANK_STEP * rank;
+        let allowed = ask.left.as_secs_f64() * 1_000.0 * part;
+        if finish > allowed && server.belief.full(server.entry.slots, now) {
+            let over = (finish - allowed).clamp(100.0, 2_000.0);
+            return Err(Refusal::Busy(Duration::from_secs_f64(over / 1_000.0)));
+        }
+        Ok(server.pick())
+    }
+
+    /// Tells whether the only backend server for a request would answer too late, and when to
+    /// come back.
+    #[must_use]
+    pub fn overfull(&self, id: &str, ask: &Ask<'_>, now: Instant) -> Option<Duration> {
+        let server = self.servers.get(id)?;
+        let norm = self.services.get(ask.service).copied().unwrap_or_default();
+        let finish = server.belief.finish(&norm, server.entry.slots, now);
+        let rank = f64::from(ask.rank.min(RANKS));
+        let allowed = ask.left.as_secs_f64() * 1_000.0 * (TIME_PART - RANK_STEP * rank);
+        if finish <= allowed || !server.belief.full(server.entry.slots, now) {
+            return None;
+        }
+        let over = (finish - allowed).clamp(100.0, 2_000.0);
+        Some(Duration::from_secs_f64(over / 1_000.0))
+    }
+
+    fn distance(&self, zone: &str) -> belief::Distance {
+        if zone == self.place.zone {
+            return belief::Distance::Zone;
+        }
+        let regions = &self.place.regions;
+        if regions.contains_key(zone) && regions.get(zone) == regions.get(&self.place.zone) {
+            belief::Distance::Region
+        } else {
+            belief::Distance::Far
+        }
+    }
+}
+
+impl Server {
+    /// Tells whether the entry is in the store, as far as this host knows.
+    #[must_use]
+    pub fn present(&self) -> bool {
+        self.present
+    }
+
+    /// Tells whether new requests may go there, for work that only this server can do.
+    ///
+    /// A server that leaves still runs such work for `drain` after this host learnt of it.
+    #[must_use]
+    pub fn takes(&self, drain: Duration, now: Instant) -> bool {
+        match self.standing {
+            Standing::Ready => true,
+            Standing::Leaving(since) => now.since(since) < drain,
+        }
+    }
+
+    /// Returns the time since this host learnt of this life of the server.
+    #[must_use]
+    pub fn known_for(&self, now: Instant) -> Duration {
+        now.since(self.learnt)
+    }
+
+    /// Returns the server as the choice for a request.
+    #[must_use]
+    pub fn pick(&self) -> Pick {
+        Pick {
+            id: self.entry.id.clone(),
+            born: self.entry.born,
+            addr: self.entry.addr,
+        }
+    }
+
+    fn leave(&mut self, now: Instant) {
+        self.present = false;
+        self.lapsing = None;
+        if self.standing == Standing::Ready {
+            self.standing = Standing::Leaving(now);
+        }
+    }
+}
+
+/// Spreads one throw of the dice over the servers.
+fn spread(dice: f64, id: &str) -> f64 {
+    let sum = id.bytes().fold(0_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(u32::from(byte))
+    });
+    (dice + f64::from(sum % 1_000) / 1_000.0).fract()
+}
--- /dev/null
+++ b/crates/edge/src/granting.rs
@@ -0,0 +1,661 @@
+//! Carries out what the granter of each keyed service decides.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde::{Deserialize, Serialize};
+use tarragon_dispatch::fleet::{Fleet, Standing};
+use tarragon_model::time::Instant;
+use tarragon_owner::balance::Candidate;
+use tarragon_owner::granter::{Granter, Life, Order, Reply, Task, Timing, View};
+use tarragon_owner::loads::Loads;
+use tarragon_owner::plan::{Holder, Plan};
+use tarragon_store::api::Api;
+use tarragon_store::error::{Error, Kind};
+use tarragon_store::object::{Key, Version};
+use tarragon_store::update::{Outcome, Token, Writer};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::keys::Map;
+use crate::pool::{Need, Pool};
+use crate::state::State;
+
+/// Kind of the store objects that hold a service's plan.
+pub const KIND: &str = "tarragon-plans";
+/// Time that a grant holds: long enough for another host to take over the granter's office.
+const HOLD: Duration = Duration::from_millis(5_000);
+/// Time between two looks at whether keys should move.
+const PLANNING: Duration = Duration::from_millis(400);
+/// Time for which the list of backend servers must stay the same before keys are dealt first.
+const SETTLED: Duration = Duration::from_millis(1_200);
+/// Time of failed orders after which a backend server gets no keys.
+const UNREACHED: Duration = Duration::from_millis(1_200);
+/// Time within which a grant must be answered.
+const GRANT_TIME: Duration = Duration::from_millis(900);
+/// Time within which a release must be answered: it waits for running work.
+const RELEASE_TIME: Duration = Duration::from_millis(4_000);
+/// Connections for orders to one backend server.
+const ORDER_CONNECTIONS: u32 = 6;
+/// Part of its slots that a backend server counts with just after its start.
+const COLD_PART: f64 = 0.5;
+/// Time for which a backend server counts as just started.
+const COLD: Duration = Duration::from_secs(3);
+
+/// Plan as the store keeps it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Record {
+    /// Unique text of the write attempt.
+    pub token: String,
+    /// Version of the granter's office under which it was written.
+    pub office: u64,
+    /// The plan.
+    pub plan: Plan,
+}
+
+impl Token for Record {
+    fn token(&self) -> &str {
+        &self.token
+    }
+}
+
+/// What a task of the granter has come to.
+pub enum Done {
+    /// An order ended.
+    Order {
+        /// Service of the keys.
+        service: String,
+        /// The order.
+        order: Order,
+        /// When it was sent.
+        sent: Instant,
+        /// How it ended.
+        reply: Reply,
+    },
+    /// A plan was read.
+    Read {
+        /// Service of the keys.
+        service: String,
+        /// Version and plan; `None` where the service has none yet.
+        result: Result<Option<(Version, Record)>, Error>,
+    },
+    /// A plan was written, or not.
+    Written {
+        /// Service of the keys.
+        service: String,
+        /// The plan.
+        plan: Plan,
+        /// What became of it.
+        result: Result<Outcome<Record>, Error>,
+    },
+}
+
+/// Grants of one service.
+struct Service {
+    granter: Option<Granter>,
+    version: Version,
+    busy: bool,
+    loads: Loads,
+    planned: Instant,
+    changes: u64,
+    published: u64,
+    candidates: (usize, Instant),
+}
+
+/// Grants of all keyed services, while this host holds the granter's office.
+pub struct Granting {
+    state: Rc<State>,
+    api: Rc<dyn Api>,
+    done: UnboundedSender<Done>,
+    pool: Rc<Pool>,
+    office: u64,
+    alone: bool,
+    services: BTreeMap<String, Service>,
+    unreached: HashMap<String, (Instant, Instant)>,
+}
+
+impl Granting {
+    /// Starts granting under an office; `alone` says that no earlier granter can still send.
+    #[must_use]
+    pub fn new(
+        state: Rc<State>,
+        api: Rc<dyn Api>,
+        done: UnboundedSender<Done>,
+        office: u64,
+        alone: bool,
+    ) -> Self {
+        Self {
+            state,
+            api,
+            done,
+            pool: Rc::new(Pool::default()),
+            office,
+            alone,
+            services: BTreeMap::new(),
+            unreached: HashMap::new(),
+        }
+    }
+
+    /// Notes that every earlier granter has stopped.
+    pub fn set_alone(&mut self) {
+        if self.alone {
+            return;
+        }
+        self.alone = true;
+        let now = self.state.now();
+        log::info!("event=granter-alone office={}", self.office);
+        for service in self.services.values_mut() {
+            if let Some(granter) = &mut service.granter {
+                granter.alone(now);
+            }
+        }
+    }
+
+    /// Tells whether an earlier granter may still send orders.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.alone
+    }
+
+    /// Adds what a host's requests tell.
+    pub fn report(&mut self, traffic: &[(String, Vec<(u16, u32)>)]) {
+        for (name, keys) in traffic {
+            let Some(service) = self.services.get_mut(name) else {
+                continue;
+            };
+            for (key, requests) in keys {
+                #[expect(clippy::cast_precision_loss, reason = "counts of half a second")]
+                service.loads.add(*key, *requests as f32);
+            }
+        }
+    }
+
+    /// Sends the orders that are due and plans anew; returns the maps that changed.
+    pub fn tick(&mut self) -> Vec<(String, Map)> {
+        let now = self.state.now();
+        let catalog = self.state.catalog();
+        for service in catalog.services.iter().filter(|service| service.keyed) {
+            if !self.services.contains_key(&service.name) {
+                self.services
+                    .insert(service.name.clone(), Service::new(now));
+            }
+            self.attend(&service.name, now);
+        }
+        self.changed_maps()
+    }
+
+    /// Returns all maps, for a host that has just come.
+    #[must_use]
+    pub fn maps(&self) -> Vec<(String, Map)> {
+        let maps = self.services.iter().filter_map(|(name, service)| {
+            let map = Map::of(service.granter.as_ref()?, (self.office, service.changes));
+            Some((name.clone(), map))
+        });
+        maps.collect()
+    }
+
+    fn changed_maps(&mut self) -> Vec<(String, Map)> {
+        let mut maps = Vec::new();
+        for (name, service) in &mut self.services {
+            if service.changes == service.published {
+                continue;
+            }
+            let Some(granter) = &service.granter else {
+                continue;
+            };
+            service.published = service.changes;
+            maps.push((
+                name.clone(),
+                Map::of(granter, (self.office, service.changes)),
+            ));
+        }
+        maps
+    }
+
+    fn attend(&mut self, name: &str, now: Instant) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(granter) = &mut service.granter else {
+            if !service.busy {
+                service.busy = true;
+                self.read(name);
+            }
+            return;
+        };
+        let fleet = self.state.fleet.borrow();
+        let life = |holder: &Holder| life(&fleet, holder);
+        let orders = granter.orders(&life, now);
+        drop(fleet);
+        for order in orders {
+            self.send(name, order, now);
+        }
+        let due = self
+            .services
+            .get(name)
+            .is_some_and(|service| !service.busy && now.since(service.planned) >= PLANNING);
+        if due {
+            self.plan(name, now);
+        }
+    }
+
+    /// Looks whether keys should move, and writes the plan that says so.
+    fn plan(&mut self, name: &str, now: Instant) {
+        let candidates = self.candidates(name, now);
+        let work = self.state.fleet.borrow().work(name);
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.planned = now;
+        service.loads.fade(now);
+        let rates = service.loads.rates(now);
+        let Some(granter) = &service.granter else {
+            return;
+        };
+        let view = View {
+            candidates: &candidates,
+            rates: &rates,
+            work_s: work.as_secs_f64(),
+            floor: service.version.0 + 1,
+        };
+        let fleet = self.state.fleet.borrow();
+        let life = |holder: &Holder| life(&fleet, holder);
+        let Some(plan) = granter.propose(&view, &life, now) else {
+            return;
+        };
+        drop(fleet);
+        let moved = plan.segments.iter().filter(|s| s.fence == plan.sequence);
+        let moved: u32 = moved.map(|s| u32::from(s.to - s.from) + 1).sum();
+        log::info!(
+            "event=plan service={name} sequence={} before={} segments={} keys_moved={moved} candidates={} rate={:.0} work_ms={}",
+            plan.sequence,
+            granter.plan().sequence,
+            plan.segments.len(),
+            candidates.len(),
+            rates.of(0, u16::MAX),
+            work.as_millis()
+        );
+        service.busy = true;
+        let expected = service.version;
+        self.write(name, plan, expected);
+    }
+
+    /// Returns the backend servers that may be given keys.
+    fn candidates(&self, name: &str, now: Instant) -> Vec<Candidate> {
+        let fleet = self.state.fleet.borrow();
+        let servers = fleet.iter().filter(|server| {
+            server.entry.service == name
+                && server.standing == Standing::Ready
+                && server.present()
+                && !self.is_unreached(&server.entry.id, now)
+        });
+        let candidates = servers.map(|server| {
+            let cold = server.known_for(now) < COLD && !server.entry.cold.is_zero();
+            let part = if cold { COLD_PART } else { 1.0 };
+            Candidate {
+                holder: Holder {
+                    id: server.entry.id.clone(),
+                    born: server.entry.born,
+                },
+                capacity: f64::from(server.entry.slots) * part / fleet.slowness(&server.entry.id),
+            }
+        });
+        candidates.collect()
+    }
+
+    fn is_unreached(&self, id: &str, now: Instant) -> bool {
+        self.unreached.get(id).is_some_and(|(first, last)| {
+            last.since(*first) >= UNREACHED && now.since(*last) < UNREACHED * 4
+        })
+    }
+
+    fn read(&self, name: &str) {
+        let (state, api, done) = (self.state.clone(), self.api.clone(), self.done.clone());
+        let service = name.to_owned();
+        tokio::task::spawn_local(async move {
+            let read = api.get(Key::new(KIND, &service), &state.stop).await;
+            let result = match read {
+                Ok(object) => object
+                    .decode::<Record>()
+                    .map(|record| Some((object.version, record))),
+                Err(error) if error.kind == Kind::NotFound => Ok(None),
+                Err(error) => Err(error),
+            };
+            tell(&done, Done::Read { service, result });
+        });
+    }
+
+    fn write(&self, name: &str, plan: Plan, expected: Version) {
+        let (state, api, done) = (self.state.clone(), self.api.clone(), self.done.clone());
+        let service = name.to_owned();
+        let record = Record {
+            token: format!("{:016x}{:016x}", state.incarnation, rand::random::<u64>()),
+            office: self.office,
+            plan: plan.clone(),
+        };
+        tokio::task::spawn_local(async move {
+            let key = Key::new(KIND, &service);
+            let result = Writer::new(&*api)
+                .update(key, expected, &record, &state.stop)
+                .await;
+            state.metrics.called("write", result_name(&result));
+            tell(
+                &done,
+                Done::Written {
+                    service,
+                    plan,
+                    result,
+                },
+            );
+        });
+    }
+
+    fn send(&self, name: &str, order: Order, sent: Instant) {
+        let (state, pool, done) = (self.state.clone(), self.pool.clone(), self.done.clone());
+        let service = name.to_owned();
+        tokio::task::spawn_local(async move {
+            let reply = send(&state, &pool, &order).await;
+            tell(
+                &done,
+                Done::Order {
+                    service,
+                    order,
+                    sent,
+                    reply,
+                },
+            );
+        });
+    }
+
+    /// Takes in what a task has come to.
+    pub fn done(&mut self, done: Done) {
+        let now = self.state.now();
+        match done {
+            Done::Order {
+                service,
+                order,
+                sent,
+                reply,
+            } => self.ordered(&service, &order, sent, reply, now),
+            Done::Read { service, result } => self.was_read(&service, result, now),
+            Done::Written {
+                service,
+                plan,
+                result,
+            } => self.was_written(&service, plan, result, now),
+        }
+    }
+
+    fn ordered(&mut self, name: &str, order: &Order, sent: Instant, reply: Reply, now: Instant) {
+        if reply == Reply::Unknown {
+            let entry = self.unreached.entry(order.server.id.clone());
+            entry.or_insert((now, now)).1 = now;
+        } else {
+            self.unreached.remove(&order.server.id);
+        }
+        let text = match &reply {
+            Reply::Done { .. } => "done",
+            Reply::Outdated => "outdated",
+            Reply::Unknown => "unknown",
+        };
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let Some(granter) = &mut service.granter else {
+            return;
+        };
+        let found = granter.ended(order, sent, reply);
+        let task = match order.task {
+            Task::Grant => "grant",
+            Task::Release => "release",
+        };
+        self.state.metrics.ordered(task, text);
+        if found {
+            service.changes += 1;
+        }
+        if found || order.task == Task::Release || text != "done" {
+            log::info!(
+                "event=order task={task} service={name} server={} keys={}-{} fence={} result={text} first={found} took_ms={} handover={}",
+                order.server.id,
+                order.from,
+                order.to,
+                order.fence,
+                now.since(sent).as_millis(),
+                order.handover.is_some()
+            );
+        }
+    }
+
+    fn was_read(
+        &mut self,
+        name: &str,
+        result: Result<Option<(Version, Record)>, Error>,
+        now: Instant,
+    ) {
+        let candidates = self.candidates(name, now);
+        let timing = self.timing();
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.busy = false;
+        match result {
+            Ok(Some((version, record))) => {
+                log::info!(
+                    "event=plan-taken-up service={name} version={version} sequence={} office={} alone={}",
+                    record.plan.sequence,
+                    record.office,
+                    self.alone
+                );
+                service.version = version;
+                service.changes += 1;
+                service.granter = Some(Granter::new(record.plan, self.alone, timing, now));
+            }
+            Ok(None) => {
+                if service.candidates.0 != candidates.len() {
+                    service.candidates = (candidates.len(), now);
+                }
+                let settled = now.since(service.candidates.1) >= SETTLED;
+                if candidates.is_empty() || !settled {
+                    return;
+                }
+                let weights: Vec<_> = candidates
+                    .into_iter()
+                    .map(|candidate| (candidate.holder, candidate.capacity))
+                    .collect();
+                service.busy = true;
+                self.write(name, Plan::deal(&weights, 1), Version::ABSENT);
+            }
+            Err(error) => log::warn!("event=plan-unread service={name} error=\"{error}\""),
+        }
+    }
+
+    fn was_written(
+        &mut self,
+        name: &str,
+        plan: Plan,
+        result: Result<Outcome<Record>, Error>,
+        now: Instant,
+    ) {
+        let (alone, timing) = (self.alone, self.timing());
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.busy = false;
+        match result {
+            Ok(Outcome::Won { version }) => {
+                service.version = version;
+                service.changes += 1;
+                match &mut service.granter {
+                    Some(granter) => granter.adopt(plan, now),
+                    // The first plan of all: nobody has granted anything before.
+                    None => service.granter = Some(Granter::new(plan, true, timing, now)),
+                }
+            }
+            Ok(Outcome::Lost {
+                value: Some(record),
+                version,
+            }) if record.office == self.office => {
+                service.version = version;
+                if let Some(granter) = &mut service.granter {
+                    granter.adopt(record.plan, now);
+                }
+                service.changes += 1;
+            }
+            Ok(Outcome::Lost { version, .. }) => {
+                log::warn!("event=plan-lost service={name} version={version} alone={alone}");
+                service.granter = None;
+            }
+            Ok(Outcome::Unfinished) => {
+                log::warn!("event=plan-unfinished service={name}");
+                service.granter = None;
+            }
+            Err(error) => log::warn!("event=plan-unwritten service={name} error=\"{error}\""),
+        }
+    }
+
+    fn timing(&self) -> Timing {
+        Timing::with_hold(HOLD.min(self.state.bounds.get().hold))
+    }
+}
+
+impl Service {
+    fn new(now: Instant) -> Self {
+        Self {
+            granter: None,
+            version: Version::ABSENT,
+            busy: false,
+            loads: Loads::new(now),
+            planned: now,
+            changes: 1,
+            published: 0,
+            candidates: (0, now),
+        }
+    }
+}
+
+/// Tells whether the process that a holder was has surely ended: a later one says its name.
+fn life(fleet: &Fleet, holder: &Holder) -> Life {
+    let later = fleet
+        .get(&holder.id)
+        .is_some_and(|server| server.entry.born > holder.born);
+    if later { Life::Ended } else { Life::Possible }
+}
+
+fn result_name<T>(result: &Result<Outcome<T>, Error>) -> &'static str {
+    match result {
+        Ok(Outcome::Won { .. }) => "won",
+        Ok(Outcome::Lost { .. }) => "lost",
+        Ok(Outcome::Unfinished) => "unfinished",
+        Err(_) => "failed",
+    }
+}
+
+fn tell(done: &UnboundedSender<Done>, what: Done) {
+    if done.send(what).is_err() {
+        log::debug!("event=granter-result-lost reason=\"process ends\"");
+    }
+}
+
+/// Sends one order and reads how it ended.
+async fn send(state: &State, pool: &Pool, order: &Order) -> Reply {
+    let Some(addr) = address(state, order) else {
+        return Reply::Unknown;
+    };
+    let time = match order.task {
+        Task::Grant => GRANT_TIME,
+        Task::Release => RELEASE_TIME,
+    };
+    let until = tokio::time::Instant::now() + time;
+    let need = Need {
+        limit: ORDER_CONNECTIONS,
+        idle: Duration::from_secs(60),
+        until,
+    };
+    let exchange = exchange(state, pool, order, addr, need);
+    match tokio::time::timeout_at(until, exchange).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(text)) => {
+            log::debug!(
+                "event=order-failed server={} error=\"{text}\"",
+                order.server.id
+            );
+            Reply::Unknown
+        }
+        Err(_) => Reply::Unknown,
+    }
+}
+
+/// Returns where a holder's process listens, if the entry there is still that process.
+fn address(state: &State, order: &Order) -> Option<std::net::SocketAddr> {
+    let fleet = state.fleet.borrow();
+    let server = fleet.get(&order.server.id)?;
+    (server.entry.born == order.server.born).then_some(server.entry.addr)
+}
+
+async fn exchange(
+    state: &State,
+    pool: &Pool,
+    order: &Order,
+    addr: std::net::SocketAddr,
+    need: Need,
+) -> Result<Reply, String> {
+    loop {
+        let mut lease = pool
+            .lease(&order.server.id, addr, need)
+            .await
+            .map_err(|error| error.to_string())?;
+        let response = match lease.send(request(state, order)).await {
+            Ok(response) => response,
+            Err((Some(_), _)) if lease.reused => continue,
+            Err((_, text)) => return Err(text),
+        };
+        let names = state.platform.headers();
+        let status = response.status();
+        let handover = response
+            .headers()
+            .get(&names.handover)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let body = response.into_body().collect().await;
+        body.map_err(|error| error.to_string())?;
+        lease.give_back(None);
+        return Ok(match status {
+            StatusCode::OK => Reply::Done { handover },
+            StatusCode::CONFLICT => Reply::Outdated,
+            status => {
+                log::warn!(
+                    "event=order-refused server={} status={status}",
+                    order.server.id
+                );
+                Reply::Unknown
+            }
+        });
+    }
+}
+
+fn request(state: &State, order: &Order) -> Request<Full<Bytes>> {
+    let hold = HOLD.min(state.bounds.get().hold).as_millis();
+    let call = state.platform.order(order, hold);
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    match call.path.parse() {
+        Ok(uri) => *request.uri_mut() = uri,
+        Err(error) => log::error!(
+            "event=order-unspellable path={} error=\"{error}\"",
+            call.path
+        ),
+    }
+    let headers = request.headers_mut();
+    let json = http::HeaderValue::from_static("application/json");
+    headers.insert(http::header::CONTENT_TYPE, json);
+    if let Ok(host) = http::HeaderValue::from_str(&order.server.id) {
+        headers.insert(http::header::HOST, host);
+    }
+    if let Ok(id) = http::HeaderValue::from_str(&order.server.id) {
+        headers.insert(state.platform.headers().expect.clone(), id);
+    }
+    request
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,20 @@
+//! Router process on entry hosts in front of backend servers that hold keys by grant.
+//!
+//! Each host sends straight to the backend server that holds a key; one of them grants the keys.
+//! One thread runs everything: the hosts are a fifth of a core, and state needs no locks so.
+
+pub mod clock;
+pub mod facts;
+pub mod front;
+pub mod granting;
+pub mod journal;
+pub mod keys;
+pub mod life;
+pub mod metrics;
+pub mod office;
+pub mod peer;
+pub mod platform;
+pub mod pool;
+pub mod relay;
+pub mod settings;
+pub mod state;
--- /dev/null
+++ b/crates/edge/src/office.rs
@@ -0,0 +1,703 @@
+//! Which host grants keys, and what hosts tell one another.
+//!
+//! The office of the granter is one object in the store. Its holder renews it; a host that hears
+//! nothing of the granter reads the object and takes the office by a conditional write when it was
+//! not renewed. Hosts that hear the granter do not read it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tarragon_model::time::Instant;
+use tarragon_store::api::Api;
+use tarragon_store::error::{Error, Kind};
+use tarragon_store::object::{Key, Version};
+use tarragon_store::update::{Outcome, Token, Writer};
+use tokio::sync::mpsc::{self, Receiver, UnboundedSender};
+
+use crate::facts::Facts;
+use crate::granting::{self, Done, Granting};
+use crate::keys::Map;
+use crate::peer::{Event, Frame, Links};
+use crate::state::State;
+
+/// Store object that holds the granter's office.
+const OFFICE: Key<'static> = Key {
+    kind: "tarragon-offices",
+    name: "granter",
+};
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two beats of the granter to other hosts.
+const BEAT: Duration = Duration::from_millis(300);
+/// Time without a beat after which a host doubts that the granter is alive.
+const DOUBT: Duration = Duration::from_millis(1_100);
+/// Time between two renewals of the office in the store.
+const RENEWAL: Duration = Duration::from_millis(1_000);
+/// Time for which a doubting host must see the office unrenewed before it takes it.
+const VACANT: Duration = Duration::from_millis(1_500);
+/// Time between two reads of the office by a doubting host.
+const READ: Duration = Duration::from_millis(350);
+/// Time between two reads of plans by a host that knows no holders.
+const PLANS: Duration = Duration::from_millis(1_000);
+/// Time between two attempts to reach a host.
+const DIAL: Duration = Duration::from_millis(600);
+/// Time between two reports to the granter.
+const REPORT: Duration = Duration::from_millis(500);
+/// Time between two questions to other hosts while the store does not answer.
+const ASK: Duration = Duration::from_millis(300);
+/// Age of the granter's last answer from the store after which it should not hold the office.
+const GRANTER_CUT: u64 = 3_500;
+/// Time for which a host counts after its link went down.
+const HOST_MEMORY: Duration = Duration::from_secs(10);
+
+/// Who holds the office.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Unique text of the write attempt.
+    pub token: String,
+    /// Host that grants.
+    pub host: String,
+    /// Its address for other hosts.
+    pub address: SocketAddr,
+    /// Number of its process.
+    pub incarnation: u64,
+    /// Whether the holder has laid the office down.
+    pub vacant: bool,
+}
+
+impl Token for Record {
+    fn token(&self) -> &str {
+        &self.token
+    }
+}
+
+/// What a call of the store has come to.
+enum Call {
+    Read(Result<Option<(Version, Record)>, Error>),
+    Taken(Version, Result<Outcome<Record>, Error>),
+    Renewed(Result<Outcome<Record>, Error>),
+}
+
+enum Role {
+    /// No granter is heard.
+    Seeking,
+    /// The granter is heard on this link.
+    Following { link: u64, beat: Instant, age: u64 },
+    /// This host grants.
+    Granting(Box<Grants>),
+}
+
+struct Grants {
+    granting: Granting,
+    version: Version,
+    renewed: Instant,
+    calling: bool,
+    beaten: Instant,
+    /// The granter before this one, until it is known to have stopped.
+    former: Option<Record>,
+}
+
+struct Link {
+    host: String,
+    dialled: Option<SocketAddr>,
+}
+
+/// Part of a host that knows who grants.
+pub struct Office {
+    state: Rc<State>,
+    facts: Rc<Facts>,
+    links: Rc<Links>,
+    api: Rc<dyn Api>,
+    role: Role,
+    record: Option<(Version, Record)>,
+    /// When the present version of the office was seen first.
+    seen: Instant,
+    read_at: Instant,
+    plans_read: Instant,
+    reading: bool,
+    holder_gone: bool,
+    dialled: HashMap<SocketAddr, Instant>,
+    up: HashMap<u64, Link>,
+    hosts: HashMap<String, Instant>,
+    reported: Instant,
+    asked: Instant,
+    /// Whether the process is about to end: it takes no office then.
+    leaving: bool,
+    calls: UnboundedSender<Call>,
+    done: UnboundedSender<Done>,
+}
+
+/// Runs the office until the process ends.
+pub async fn run(
+    state: Rc<State>,
+    facts: Rc<Facts>,
+    links: Rc<Links>,
+    api: Rc<dyn Api>,
+    mut events: Receiver<Event>,
+) {
+    let (calls, mut called) = mpsc::unbounded_channel();
+    let (done, mut finished) = mpsc::unbounded_channel();
+    let now = state.now();
+    let mut office = Office {
+        state: state.clone(),
+        facts,
+        links,
+        api,
+        role: Role::Seeking,
+        record: None,
+        seen: now,
+        read_at: Instant::ZERO,
+        plans_read: now,
+        reading: false,
+        holder_gone: false,
+        dialled: HashMap::new(),
+        up: HashMap::new(),
+        hosts: HashMap::new(),
+        reported: now,
+        asked: now,
+        leaving: false,
+        calls,
+        done,
+    };
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = state.leaving.cancelled(), if !office.leaving => office.lay_down().await,
+            () = state.stop.cancelled() => return,
+            Some(event) = events.recv() => office.event(event),
+            Some(call) = called.recv() => office.called(call),
+            Some(done) = finished.recv() => office.done(done),
+            _ = ticks.tick() => office.tick(),
+        }
+    }
+}
+
+impl Office {
+    fn tick(&mut self) {
+        let now = self.state.now();
+        self.count_hosts(now);
+        if self.facts.failing() && now.since(self.asked) >= ASK {
+            self.asked = now;
+            self.ask();
+        }
+        match &mut self.role {
+            Role::Granting(_) => self.grant(now),
+            Role::Following { link, beat, age } => {
+                let (link, beat, age) = (*link, *beat, *age);
+                let cut = age > GRANTER_CUT && !self.facts.failing();
+                if now.since(beat) > DOUBT || cut {
+                    self.seek(now);
+                }
+                if now.since(self.reported) >= REPORT {
+                    self.reported = now;
+                    let report = self.report();
+                    self.links.send(link, &report);
+                }
+            }
+            Role::Seeking => self.seek(now),
+        }
+    }
+
+    /// Looks for the granter, in the store and at the hosts that may know.
+    fn seek(&mut self, now: Instant) {
+        if !self.reading && now.since(self.read_at) >= READ {
+            self.read_at = now;
+            self.reading = true;
+            self.read();
+        }
+        self.read_plans(now);
+        let holder = self.record.as_ref().map(|(_, record)| record.address);
+        let mut targets: Vec<SocketAddr> = holder.into_iter().collect();
+        if self.facts.failing() {
+            targets.extend(&self.state.settings.seeds);
+        }
+        for address in targets {
+            self.dial(address, now);
+        }
+    }
+
+    /// Reads the plans of services whose holders this host knows nothing of.
+    fn read_plans(&mut self, now: Instant) {
+        if now.since(self.plans_read) < PLANS {
+            return;
+        }
+        self.plans_read = now;
+        for service in &self.state.catalog().services {
+            if !service.keyed || self.state.with_map(&service.name, |_| ()).is_some() {
+                continue;
+            }
+            let (state, api, name) = (self.state.clone(), self.api.clone(), service.name.clone());
+            tokio::task::spawn_local(async move { read_plan(&state, &*api, &name).await });
+        }
+    }
+
+    fn dial(&mut self, address: SocketAddr, now: Instant) {
+        let linked = self.up.values().any(|link| link.dialled == Some(address));
+        let recent = self
+            .dialled
+            .get(&address)
+            .is_some_and(|at| now.since(*at) < DIAL);
+        if linked || recent || address == self.state.settings.control {
+            return;
+        }
+        self.dialled.insert(address, now);
+        let link = self.links.dial(address);
+        self.up.insert(
+            link,
+            Link {
+                host: String::new(),
+                dialled: Some(address),
+            },
+        );
+    }
+
+    fn ask(&mut self) {
+        let (catalog, entries) = self.facts.reached(&self.state);
+        let ask = Frame::Ask { catalog, entries };
+        match &self.role {
+            Role::Following { link, .. } => self.links.send(*link, &ask),
+            _ => self.links.broadcast(&ask),
+        }
+    }
+
+    fn report(&self) -> Frame {
+        let traffic = self.state.take_traffic().into_iter();
+        let traffic = traffic.map(|(service, keys)| (service, keys.into_iter().collect()));
+        Frame::Report {
+            traffic: traffic.collect(),
+            slowness: Vec::new(),
+            crashes: self.state.take_convicted(),
+        }
+    }
+
+    /// Does what is due while this host grants.
+    fn grant(&mut self, now: Instant) {
+        let report = (now.since(self.reported) >= REPORT).then(|| {
+            self.reported = now;
+            self.report()
+        });
+        if let Some(Frame::Report {
+            traffic, crashes, ..
+        }) = report
+        {
+            self.take_report(&traffic, crashes);
+        }
+        let Role::Granting(grants) = &mut self.role else {
+            return;
+        };
+        for (service, map) in grants.granting.tick() {
+            self.state.learn_map(&service, map.clone());
+            self.links.broadcast(&Frame::Keys { service, map });
+        }
+        if now.since(grants.beaten) >= BEAT {
+            grants.beaten = now;
+            let beat = beat(&self.state, grants.version, self.hosts.len(), now);
+            self.links.broadcast(&beat);
+        }
+        let former = grants.former.as_ref().map(|record| record.address);
+        if now.since(grants.renewed) >= RENEWAL && !grants.calling {
+            grants.renewed = now;
+            grants.calling = true;
+            let version = grants.version;
+            self.write(version, false, Call::Renewed);
+        }
+        if let Some(address) = former {
+            self.dial(address, now);
+        }
+    }
+
+    fn take_report(&mut self, traffic: &[(String, Vec<(u16, u32)>)], crashes: Vec<(u64, String)>) {
+        if let Role::Granting(grants) = &mut self.role {
+            grants.granting.report(traffic);
+        }
+        if !crashes.is_empty() {
+            self.take_crashes(&crashes);
+            self.links.broadcast(&Frame::Crashes { crashes });
+        }
+    }
+
+    fn take_crashes(&self, crashes: &[(u64, String)]) {
+        let now = self.state.now();
+        let mut poison = self.state.poison.borrow_mut();
+        for (print, server) in crashes {
+            poison.convict(*print, server, now);
+        }
+    }
+
+    fn count_hosts(&mut self, now: Instant) {
+        for link in self.up.values().filter(|link| !link.host.is_empty()) {
+            self.hosts.insert(link.host.clone(), now);
+        }
+        self.hosts.insert(self.state.settings.host.clone(), now);
+        self.hosts.retain(|_, at| now.since(*at) < HOST_MEMORY);
+        if matches!(self.role, Role::Granting(_)) {
+            self.state.hosts.set(count(self.hosts.len()));
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Up {
+                link,
+                host,
+                incarnation,
+            } => self.link_up(link, host, incarnation),
+            Event::Frame { link, frame } => self.frame(link, frame),
+            Event::Down { link, reason } => self.link_down(link, &reason),
+        }
+    }
+
+    fn link_up(&mut self, link: u64, host: String, incarnation: u64) {
+        log::info!("event=link-up link={link} host={host} incarnation={incarnation}");
+        let dialled = self.up.remove(&link).and_then(|known| known.dialled);
+        let name = host.clone();
+        let same = |record: &Record| record.host == name && record.incarnation != incarnation;
+        if self.record.as_ref().is_some_and(|(_, record)| same(record)) {
+            self.holder_gone = true;
+        }
+        self.up.insert(link, Link { host, dialled });
+        let now = self.state.now();
+        let hosts = self.hosts.len();
+        if let Role::Granting(grants) = &mut self.role {
+            let replaced = grants.former.as_ref().is_some_and(&same);
+            if replaced {
+                grants.former = None;
+                grants.granting.set_alone();
+            }
+            self.links
+                .send(link, &beat(&self.state, grants.version, hosts + 1, now));
+            for (service, map) in grants.granting.maps() {
+                self.links.send(link, &Frame::Keys { service, map });
+            }
+            let announced = grants.former.as_ref().map(|record| record.address);
+            if announced.is_some() && dialled == announced {
+                let office = Frame::Office {
+                    version: grants.version.0,
+                    address: self.state.settings.control,
+                };
+                self.links.send(link, &office);
+            }
+        }
+    }
+
+    fn link_down(&mut self, link: u64, reason: &str) {
+        let known = self.up.remove(&link);
+        let host = known.map(|link| link.host).unwrap_or_default();
+        if !host.is_empty() {
+            log::info!("event=link-down link={link} host={host} reason=\"{reason}\"");
+        }
+        if matches!(self.role, Role::Following { link: followed, .. } if followed == link) {
+            log::warn!("event=dependency-lost peer=granter host={host}");
+            self.role = Role::Seeking;
+        }
+    }
+
+    fn frame(&mut self, link: u64, frame: Frame) {
+        match frame {
+            Frame::Hello { .. } => {}
+            Frame::Beat {
+                office,
+                hosts,
+                store_age_ms,
+            } => self.beat(link, office, hosts, store_age_ms),
+            Frame::Office { version, address } => self.announced(link, version, address),
+            Frame::Yielded { version } => self.yielded(link, version),
+            Frame::Keys { service, map } => self.state.learn_map(&service, map),
+            Frame::Report {
+                traffic, crashes, ..
+            } => self.take_report(&traffic, crashes),
+            Frame::Crashes { crashes } => self.take_crashes(&crashes),
+            Frame::Ask { catalog, entries } => self.tell(link, catalog, entries),
+            Frame::Facts { catalog, entries } => self.facts.told(&self.state, catalog, entries),
+        }
+    }
+
+    fn tell(&self, link: u64, catalog: u64, entries: u64) {
+        let (catalog, entries) = self.facts.later(catalog, entries);
+        if catalog.is_some() || entries.is_some() {
+            self.links.send(link, &Frame::Facts { catalog, entries });
+        }
+        if !matches!(self.role, Role::Granting(_)) {
+            for (service, map) in self.state.maps() {
+                self.links.send(link, &Frame::Keys { service, map });
+            }
+        }
+    }
+
+    fn beat(&mut self, link: u64, office: u64, hosts: u32, age: u64) {
+        let now = self.state.now();
+        match &mut self.role {
+            Role::Granting(grants) if grants.version.0 >= office => {}
+            Role::Following {
+                link: followed,
+                beat,
+                age: known,
+            } if *followed == link => {
+                *beat = now;
+                *known = age;
+                self.state.hosts.set(hosts.max(1));
+            }
+            Role::Granting(_) => self.depose("a later granter beats"),
+            Role::Following { .. } | Role::Seeking => {
+                let newest = self.record.as_ref().map_or(0, |(version, record)| {
+                    let same = self.up.get(&link).is_some_and(|l| l.host == record.host);
+                    if same { 0 } else { version.0 }
+                });
+                if office < newest {
+                    return;
+                }
+                log::info!("event=dependency-regained peer=granter link={link} office={office}");
+                self.state.hosts.set(hosts.max(1));
+                self.holder_gone = false;
+                self.role = Role::Following {
+                    link,
+                    beat: now,
+                    age,
+                };
+            }
+        }
+    }
+
+    fn announced(&mut self, link: u64, version: u64, address: SocketAddr) {
+        if let Role::Granting(grants) = &self.role
+            && grants.version.0 < version
+        {
+            self.depose("another host announced its office");
+        }
+        if !matches!(self.role, Role::Granting(_)) {
+            self.links.send(link, &Frame::Yielded { version });
+        }
+        self.dial(address, self.state.now());
+    }
+
+    fn yielded(&mut self, link: u64, version: u64) {
+        let from = self.up.get(&link).and_then(|link| link.dialled);
+        if let Role::Granting(grants) = &mut self.role {
+            let former = grants.former.as_ref().map(|record| record.address);
+            if former.is_some() && former == from && version <= grants.version.0 {
+                grants.former = None;
+                grants.granting.set_alone();
+            }
+        }
+    }
+
+    fn depose(&mut self, reason: &str) {
+        log::warn!("event=granter-deposed reason=\"{reason}\"");
+        self.role = Role::Seeking;
+        self.seen = self.state.now();
+    }
+
+    fn read(&self) {
+        let (state, api, calls) = (self.state.clone(), self.api.clone(), self.calls.clone());
+        tokio::task::spawn_local(async move {
+            let result = match api.get(OFFICE, &state.stop).await {
+                Ok(object) => object
+                    .decode::<Record>()
+                    .map(|record| Some((object.version, record))),
+                Err(error) if error.kind == Kind::NotFound => Ok(None),
+                Err(error) => Err(error),
+            };
+            tell(&calls, Call::Read(result));
+        });
+    }
+
+    fn write(
+        &self,
+        expected: Version,
+        vacant: bool,
+        wrap: impl FnOnce(Result<Outcome<Record>, Error>) -> Call + 'static,
+    ) {
+        let (state, api, calls) = (self.state.clone(), self.api.clone(), self.calls.clone());
+        tokio::task::spawn_local(async move {
+            let record = own_record(&state, vacant);
+            let writer = Writer::new(&*api);
+            let result = writer.update(OFFICE, expected, &record, &state.stop).await;
+            tell(&calls, wrap(result));
+        });
+    }
+
+    fn called(&mut self, call: Call) {
+        match call {
+            Call::Read(result) => self.office_read(result),
+            Call::Taken(expected, result) => self.office_taken(expected, result),
+            Call::Renewed(result) => self.office_renewed(result),
+        }
+    }
+
+    fn office_read(&mut self, result: Result<Option<(Version, Record)>, Error>) {
+        self.reading = false;
+        let now = self.state.now();
+        if matches!(self.role, Role::Granting(_)) {
+            return;
+        }
+        match result {
+            Err(error) => log::debug!("event=office-unread error=\"{error}\""),
+            Ok(None) => self.take(Version::ABSENT),
+            Ok(Some((version, record))) => {
+                let known = self.record.as_ref().map(|(version, _)| *version);
+                if known != Some(version) {
+                    self.seen = now;
+                    let process = |record: &Record| (record.host.clone(), record.incarnation);
+                    let former = self.record.as_ref().map(|(_, record)| process(record));
+                    if former != Some(process(&record)) {
+                        self.holder_gone = false;
+                        self.dialled.remove(&record.address);
+                    }
+                }
+                let own = record.host == self.state.settings.host;
+                let free = record.vacant || own || self.holder_gone;
+                self.record = Some((version, record));
+                if free || now.since(self.seen) >= VACANT {
+                    self.take(version);
+                }
+            }
+        }
+    }
+
+    /// Tries to take the office, if it still has the version `expected`.
+    fn take(&mut self, expected: Version) {
+        if self.leaving {
+            return;
+        }
+        self.reading = true;
+        self.write(expected, false, move |result| Call::Taken(expected, result));
+    }
+
+    fn office_taken(&mut self, expected: Version, result: Result<Outcome<Record>, Error>) {
+        self.reading = false;
+        let version = match result {
+            Ok(Outcome::Won { version }) => version,
+            Ok(_) => return,
+            Err(error) => {
+                log::info!("event=office-not-taken error=\"{error}\"");
+                return;
+            }
+        };
+        let now = self.state.now();
+        let before = self.record.take().filter(|(known, _)| *known == expected);
+        let former = before.map(|(_, record)| record).filter(|record| {
+            let own = record.host == self.state.settings.host;
+            !(record.vacant || own || self.holder_gone)
+        });
+        log::info!(
+            "event=office-taken version={version} former={}",
+            former.as_ref().map_or("-", |record| record.host.as_str())
+        );
+        let granting = Granting::new(
+            self.state.clone(),
+            self.api.clone(),
+            self.done.clone(),
+            version.0,
+            former.is_none(),
+        );
+        self.role = Role::Granting(Box::new(Grants {
+            granting,
+            version,
+            renewed: now,
+            calling: false,
+            beaten: Instant::ZERO,
+            former,
+        }));
+        let office = Frame::Office {
+            version: version.0,
+            address: self.state.settings.control,
+        };
+        self.links.broadcast(&office);
+    }
+
+    fn office_renewed(&mut self, result: Result<Outcome<Record>, Error>) {
+        let Role::Granting(grants) = &mut self.role else {
+            return;
+        };
+        grants.calling = false;
+        match result {
+            Ok(Outcome::Won { version }) => {
+                grants.version = version;
+                self.state.store_seen.set(self.state.now());
+            }
+            Ok(Outcome::Lost { value, version }) => {
+                let own = value.as_ref().is_some_and(|record| {
+                    record.incarnation == self.state.incarnation && !record.vacant
+                });
+                if own {
+                    grants.version = version;
+                } else {
+                    self.depose("the store names another host");
+                }
+            }
+            Ok(Outcome::Unfinished) => log::warn!("event=office-unsettled"),
+            Err(error) => log::warn!("event=office-unrenewed error=\"{error}\""),
+        }
+    }
+
+    fn done(&mut self, done: Done) {
+        if let Role::Granting(grants) = &mut self.role {
+            grants.granting.done(done);
+        }
+    }
+
+    /// Lets another host take the office before this process ends.
+    async fn lay_down(&mut self) {
+        self.leaving = true;
+        let Role::Granting(grants) = &self.role else {
+            return;
+        };
+        let expected = grants.version;
+        self.role = Role::Seeking;
+        let record = own_record(&self.state, true);
+        let writer = Writer::new(&*self.api);
+        let laid = writer.update(OFFICE, expected, &record, &self.state.stop);
+        match laid.await {
+            Ok(outcome) => log::info!("event=office-laid-down outcome={outcome:?}"),
+            Err(error) => log::warn!("event=office-not-laid-down error=\"{error}\""),
+        }
+        let links: Vec<u64> = self.up.keys().copied().collect();
+        for link in links {
+            self.links.close(link);
+        }
+    }
+}
+
+fn own_record(state: &State, vacant: bool) -> Record {
+    Record {
+        token: format!("{:016x}{:016x}", state.incarnation, rand::random::<u64>()),
+        host: state.settings.host.clone(),
+        address: state.settings.control,
+        incarnation: state.incarnation,
+        vacant,
+    }
+}
+
+fn beat(state: &State, version: Version, hosts: usize, now: Instant) -> Frame {
+    let age = now.since(state.store_seen.get()).as_millis();
+    Frame::Beat {
+        office: version.0,
+        hosts: count(hosts),
+        store_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+    }
+}
+
+fn count(hosts: usize) -> u32 {
+    u32::try_from(hosts).unwrap_or(u32::MAX).max(1)
+}
+
+fn tell(calls: &UnboundedSender<Call>, call: Call) {
+    if calls.send(call).is_err() {
+        log::debug!("event=office-result-lost reason=\"process ends\"");
+    }
+}
+
+/// Reads a service's plan, for a host that hears no granter.
+async fn read_plan(state: &State, api: &dyn Api, service: &str) {
+    let key = Key::new(granting::KIND, service);
+    let read = api.get(key, &state.stop).await;
+    let record = read.and_then(|object| object.decode::<granting::Record>());
+    match record {
+        Ok(record) => state.learn_map(service, Map::assume(&record.plan)),
+        Err(error) => log::info!("event=plan-unread service={service} error=\"{error}\""),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/peer.rs
@@ -0,0 +1,327 @@
+//! Links between hosts: a WebSocket each, one CBOR frame a message.
+//!
+//! Every host keeps a link to the granter. What the store does not tell one host, because it is
+//! turned away, another one tells it on such a link.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use tarragon_store::object::{List, Object};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::keys::Map;
+use crate::pool;
+
+/// Frames that wait for a link at most; more are dropped, as later ones tell the same anew.
+const WAITING: usize = 64;
+/// Time within which a link must be established.
+const CONNECT_TIME: Duration = Duration::from_millis(800);
+
+/// Message between two hosts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Frame {
+    /// First frame of each side.
+    Hello {
+        /// Name of the host.
+        host: String,
+        /// Number of its process.
+        incarnation: u64,
+    },
+    /// The granter is alive.
+    Beat {
+        /// Version of its office in the store.
+        office: u64,
+        /// Hosts that take requests.
+        hosts: u32,
+        /// Time since the store answered it, in milliseconds.
+        store_age_ms: u64,
+    },
+    /// Another process has taken the granter's office; who grants is to stop.
+    Office {
+        /// Version of the office in the store.
+        version: u64,
+        /// Control address of the new granter.
+        address: SocketAddr,
+    },
+    /// The sender grants nothing under any office before this version.
+    Yielded {
+        /// Version of the office that was announced.
+        version: u64,
+    },
+    /// Holders of a service's keys.
+    Keys {
+        /// Name of the service.
+        service: String,
+        /// The holders.
+        map: Map,
+    },
+    /// What a host's requests tell the granter.
+    Report {
+        /// Requests for each key since the last report, by service.
+        traffic: Vec<(String, Vec<(u16, u32)>)>,
+        /// How much slower than the mean each backend server is.
+        slowness: Vec<(String, f32)>,
+        /// Requests that crashed a backend server.
+        crashes: Vec<(u64, String)>,
+    },
+    /// Requests that crashed a backend server, for all hosts.
+    Crashes {
+        /// Hash of the request and identifier of the backend server.
+        crashes: Vec<(u64, String)>,
+    },
+    /// The sender cannot reach the store and asks for what is later than this.
+    Ask {
+        /// Revision of its catalog.
+        catalog: u64,
+        /// Revision up to which it knows the backend servers.
+        entries: u64,
+    },
+    /// What the store told the sender.
+    Facts {
+        /// The catalog, if it is later.
+        catalog: Option<Object>,
+        /// All entries of backend servers, if they are later.
+        entries: Option<List>,
+    },
+}
+
+/// What happens on links.
+#[derive(Debug)]
+pub enum Event {
+    /// A link is up; its other end has said who it is.
+    Up {
+        /// Number of the link.
+        link: u64,
+        /// Name of the other host.
+        host: String,
+        /// Number of its process.
+        incarnation: u64,
+    },
+    /// A frame came.
+    Frame {
+        /// Number of the link.
+        link: u64,
+        /// The frame.
+        frame: Frame,
+    },
+    /// A link is down.
+    Down {
+        /// Number of the link.
+        link: u64,
+        /// What ended it.
+        reason: String,
+    },
+}
+
+/// Links of one host.
+pub struct Links {
+    me: Frame,
+    senders: RefCell<HashMap<u64, Sender<Message>>>,
+    events: Sender<Event>,
+    next: Cell<u64>,
+}
+
+impl Links {
+    /// Creates no links yet; events of those to come go to `events`.
+    #[must_use]
+    pub fn new(host: &str, incarnation: u64, events: Sender<Event>) -> Rc<Self> {
+        Rc::new(Self {
+            me: Frame::Hello {
+                host: host.to_owned(),
+                incarnation,
+            },
+            senders: RefCell::default(),
+            events,
+            next: Cell::new(1),
+        })
+    }
+
+    /// Takes links of other hosts until the process ends.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let links = Rc::clone(&self);
+                    let link = links.number();
+                    tokio::task::spawn_local(async move { links.answer(link, stream).await });
+                }
+                Err(error) => {
+                    log::warn!("event=accept-failed listener=control error=\"{error}\"");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    /// Dials a host and returns the number that the link will have.
+    pub fn dial(self: &Rc<Self>, address: SocketAddr) -> u64 {
+        let link = self.number();
+        let links = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let connected = tokio::time::timeout(CONNECT_TIME, connect(address)).await;
+            match connected {
+                Ok(Ok(socket)) => links.run(link, socket).await,
+                Ok(Err(text)) => links.down(link, text).await,
+                Err(_) => links.down(link, "timeout".to_owned()).await,
+            }
+        });
+        link
+    }
+
+    /// Sends a frame on a link; it is dropped when the link is down or does not keep up.
+    pub fn send(&self, link: u64, frame: &Frame) {
+        if let Some(message) = encode(frame) {
+            self.push(link, message);
+        }
+    }
+
+    /// Sends a frame on every link.
+    pub fn broadcast(&self, frame: &Frame) {
+        let Some(message) = encode(frame) else {
+            return;
+        };
+        let all: Vec<u64> = self.senders.borrow().keys().copied().collect();
+        for link in all {
+            self.push(link, message.clone());
+        }
+    }
+
+    /// Ends a link.
+    pub fn close(&self, link: u64) {
+        self.senders.borrow_mut().remove(&link);
+    }
+
+    fn push(&self, link: u64, message: Message) {
+        if let Some(sender) = self.senders.borrow().get(&link)
+            && sender.try_send(message).is_err()
+        {
+            log::debug!("event=frame-dropped link={link}");
+        }
+    }
+
+    fn number(&self) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        number
+    }
+
+    async fn answer(&self, link: u64, stream: TcpStream) {
+        pool::tune(&stream);
+        let accepted = tokio::time::timeout(CONNECT_TIME, tokio_tungstenite::accept_async(stream));
+        match accepted.await {
+            Ok(Ok(socket)) => self.run(link, socket).await,
+            Ok(Err(error)) => log::debug!("event=link-refused error=\"{error}\""),
+            Err(_) => log::debug!("event=link-refused error=timeout"),
+        }
+    }
+
+    async fn run<S>(&self, link: u64, socket: WebSocketStream<S>)
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        let (sender, waiting) = mpsc::channel(WAITING);
+        if let Some(hello) = encode(&self.me) {
+            // The ring is empty, so the first frame always fits.
+            let _ = sender.try_send(hello);
+        }
+        self.senders.borrow_mut().insert(link, sender);
+        let reason = self.exchange(link, socket, waiting).await;
+        self.senders.borrow_mut().remove(&link);
+        self.down(link, reason).await;
+    }
+
+    async fn exchange<S>(
+        &self,
+        link: u64,
+        socket: WebSocketStream<S>,
+        mut waiting: Receiver<Message>,
+    ) -> String
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        let (mut sink, mut stream) = socket.split();
+        let write = async {
+            while let Some(message) = waiting.recv().await {
+                if let Err(error) = sink.send(message).await {
+                    return error.to_string();
+                }
+            }
+            "closed here".to_owned()
+        };
+        let read = async {
+            loop {
+                match stream.next().await {
+                    None => return "closed by peer".to_owned(),
+                    Some(Err(error)) => return error.to_string(),
+                    Some(Ok(Message::Binary(bytes))) => match decode(&bytes) {
+                        Ok(frame) => self.take(link, frame).await,
+                        Err(text) => return text,
+                    },
+                    Some(Ok(_)) => {}
+                }
+            }
+        };
+        tokio::select! {
+            reason = write => reason,
+            reason = read => reason,
+        }
+    }
+
+    async fn take(&self, link: u64, frame: Frame) {
+        let event = match frame {
+            Frame::Hello { host, incarnation } => Event::Up {
+                link,
+                host,
+                incarnation,
+            },
+            frame => Event::Frame { link, frame },
+        };
+        self.tell(event).await;
+    }
+
+    async fn down(&self, link: u64, reason: String) {
+        self.tell(Event::Down { link, reason }).await;
+    }
+
+    async fn tell(&self, event: Event) {
+        if self.events.send(event).await.is_err() {
+            log::debug!("event=link-event-lost reason=\"process ends\"");
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<WebSocketStream<TcpStream>, String> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| error.to_string())?;
+    pool::tune(&stream);
+    let url = format!("ws://{address}/");
+    let connected = tokio_tungstenite::client_async(url, stream).await;
+    connected
+        .map(|(socket, _)| socket)
+        .map_err(|error| error.to_string())
+}
+
+fn encode(frame: &Frame) -> Option<Message> {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(frame, &mut bytes) {
+        Ok(()) => Some(Message::Binary(bytes.into())),
+        Err(error) => {
+            log::error!("event=frame-unwritable error=\"{error}\"");
+            None
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<Frame, String> {
+    ciborium::from_reader(bytes).map_err(|error| format!("unreadable frame: {error}"))
+}
--- /dev/null
+++ b/crates/edge/src/pool.rs
@@ -0,0 +1,264 @@
+//! Connections to backend servers, limited for each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Body of a request to a backend server.
+pub type Body = Full<Bytes>;
+
+/// Time within which a connection must be established.
+const CONNECT_TIME: Duration = Duration::from_millis(600);
+/// Time for which sent bytes may stay unacknowledged before a connection counts as dead.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// Idle time of a connection after which the peer is asked whether it is still there.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Idle time after which a connection is not used again, where its peer names none.
+const IDLE: Duration = Duration::from_secs(4);
+/// Part of the idle time that its peer names for which a connection is used.
+const IDLE_PART: f64 = 0.7;
+
+/// Why a request did not get onto a connection; it was not sent.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The peer could not be reached.
+    #[error("connecting to {peer}: {text}")]
+    Connect {
+        /// Address of the backend server.
+        peer: SocketAddr,
+        /// What went wrong.
+        text: String,
+    },
+    /// All connections that this host may open stayed in use.
+    #[error("all connections to {peer} are in use")]
+    Full {
+        /// Address of the backend server.
+        peer: SocketAddr,
+    },
+}
+
+/// Connections of one host.
+#[derive(Default)]
+pub struct Pool {
+    peers: RefCell<HashMap<String, Rc<Peer>>>,
+}
+
+/// Connections to one backend server.
+#[derive(Default)]
+struct Peer {
+    idle: RefCell<Vec<Idle>>,
+    open: Cell<u32>,
+    freed: Notify,
+}
+
+struct Idle {
+    sender: SendRequest<Body>,
+    since: Instant,
+    until: Instant,
+}
+
+/// Connection that one request has for itself.
+pub struct Lease {
+    sender: Option<SendRequest<Body>>,
+    peer: Rc<Peer>,
+    /// Whether the connection carried requests before.
+    pub reused: bool,
+}
+
+/// What a request needs of its connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Connections that this host may open to the backend server.
+    pub limit: u32,
+    /// Longest time that the connection may have been idle.
+    pub idle: Duration,
+    /// Moment at which it is too late.
+    pub until: Instant,
+}
+
+impl Pool {
+    /// Takes a connection to the backend server `id` at `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none; nothing was sent.
+    pub async fn lease(&self, id: &str, addr: SocketAddr, need: Need) -> Result<Lease, Error> {
+        let peer = self.peer(id);
+        loop {
+            if let Some(sender) = peer.take_idle(need.idle) {
+                return Ok(Lease {
+                    sender: Some(sender),
+                    peer,
+                    reused: true,
+                });
+            }
+            if peer.open.get() < need.limit.max(1) {
+                return connect(peer, addr, need.until).await;
+            }
+            // A connection idle for too long makes room for a new one.
+            peer.idle.borrow_mut().pop();
+            let freed = peer.freed.notified();
+            if tokio::time::timeout_at(need.until, freed).await.is_err() {
+                return Err(Error::Full { peer: addr });
+            }
+        }
+    }
+
+    /// Closes the idle connections to a backend server that started anew.
+    pub fn forget(&self, id: &str) {
+        if let Some(peer) = self.peers.borrow().get(id) {
+            peer.idle.borrow_mut().clear();
+        }
+    }
+
+    fn peer(&self, id: &str) -> Rc<Peer> {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(peer) = peers.get(id) {
+            return Rc::clone(peer);
+        }
+        // Servers come and go: those without connections are let go of when a new one comes.
+        peers.retain(|_, peer| peer.open.get() > 0);
+        let peer = Rc::new(Peer::default());
+        peers.insert(id.to_owned(), Rc::clone(&peer));
+        peer
+    }
+}
+
+impl Peer {
+    /// Takes the connection that was used last, and closes those idle for too long.
+    fn take_idle(&self, idle: Duration) -> Option<SendRequest<Body>> {
+        let now = Instant::now();
+        let mut all = self.idle.borrow_mut();
+        all.retain(|entry| now < entry.until && !entry.sender.is_closed());
+        let place = all
+            .iter()
+            .rposition(|entry| entry.sender.is_ready() && now - entry.since <= idle);
+        place.map(|place| all.remove(place).sender)
+    }
+}
+
+async fn connect(peer: Rc<Peer>, addr: SocketAddr, until: Instant) -> Result<Lease, Error> {
+    let guard = Open::new(Rc::clone(&peer));
+    let failed = |text: String| Error::Connect { peer: addr, text };
+    let until = until.min(Instant::now() + CONNECT_TIME);
+    let stream = tokio::time::timeout_at(until, TcpStream::connect(addr))
+        .await
+        .map_err(|_| failed("timeout".to_owned()))?
+        .map_err(|error| failed(error.to_string()))?;
+    tune(&stream);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("event=connection-ended peer={addr} error=\"{error}\"");
+        }
+        drop(guard);
+    });
+    Ok(Lease {
+        sender: Some(sender),
+        peer,
+        reused: false,
+    })
+}
+
+/// Makes a connection notice a peer that is gone without a word.
+pub fn tune(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(2);
+    let tuned = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+    if let Err(error) = tuned {
+        log::debug!("event=socket-untuned error=\"{error}\"");
+    }
+}
+
+/// Counts a connection while it is open.
+struct Open(Rc<Peer>);
+
+impl Open {
+    fn new(peer: Rc<Peer>) -> Self {
+        peer.open.set(peer.open.get() + 1);
+        Self(peer)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+        self.0.freed.notify_one();
+    }
+}
+
+impl Lease {
+    /// Sends a request; an error with the request in it means that nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// The request, when it was not sent, and what went wrong.
+    pub async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, (Option<Request<Body>>, String)> {
+        let Some(sender) = self.sender.as_mut() else {
+            return Err((Some(request), "connection already given back".to_owned()));
+        };
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                self.sender = None;
+                let text = cause(error.error());
+                Err((error.take_message(), text))
+            }
+        }
+    }
+
+    /// Gives the connection back for other requests, `keep` as its peer allows.
+    pub fn give_back(mut self, keep: Option<Duration>) {
+        let Some(sender) = self.sender.take() else {
+            return;
+        };
+        if sender.is_closed() {
+            return;
+        }
+        let now = Instant::now();
+        let until = now + keep.map_or(IDLE, |keep| keep.mul_f64(IDLE_PART));
+        self.peer.idle.borrow_mut().push(Idle {
+            sender,
+            since: now,
+            until,
+        });
+        self.peer.freed.notify_one();
+    }
+}
+
+/// Returns an error's text with its causes.
+#[must_use]
+pub fn cause(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut next = error.source();
+    while let Some(source) = next {
+        text.push_str(": ");
+        text.push_str(&source.to_string());
+        next = source.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,371 @@
+//! One send of a request to one backend server.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue,
+    TRANSFER_ENCODING,
+};
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, BodyStream, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use tarragon_dispatch::fleet::{Load, Pick, Seen, Verdict};
+use tokio::time::Instant;
+
+use crate::platform::Headers;
+use crate::pool::{Lease, Need};
+use crate::state::State;
+
+/// Error of a body that could not be carried to its end.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+/// Body of an answer to a caller.
+pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = BodyError>>>;
+
+/// Part of an answer that is held back until it is whole, so that a broken one can be replaced.
+const HELD_BYTES: usize = 1024 * 1024;
+/// Time of idleness after which a connection may be forgotten by its peer without notice.
+const UNSURE_IDLE: Duration = Duration::from_millis(1_500);
+/// Idle time that matters to requests which may run again: none.
+const ANY_IDLE: Duration = Duration::from_secs(60);
+/// Part of a backend server's connections that all hosts together open.
+const CONNECTION_PART: f64 = 0.9;
+
+/// Request as its caller sent it, with its body whole.
+pub struct Order {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers to forward.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Identifier, as the answer must bear it.
+    pub id: Option<HeaderValue>,
+    /// Whether it may run again.
+    pub repeatable: bool,
+}
+
+/// Answer of a backend server that can be passed on.
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Body,
+}
+
+/// How one send ended.
+pub enum Outcome {
+    /// The backend server answered.
+    Answer(Answer),
+    /// Nothing was sent.
+    NotSent(String),
+    /// The backend server says that it did not run the request.
+    NotRun(StatusCode),
+    /// The request was sent and may have run; its answer cannot be used.
+    Unknown(String),
+}
+
+impl Outcome {
+    /// Names the outcome for logs and metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => "answer",
+            Self::NotSent(_) => "not-sent",
+            Self::NotRun(_) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
+/// Keeps the count of requests at a server right, also when the caller leaves.
+struct Flight<'a> {
+    state: &'a State,
+    id: &'a str,
+    sent: Instant,
+    seen: Option<Seen>,
+}
+
+impl Flight<'_> {
+    fn end(&mut self, verdict: Verdict, load: Option<Load>, bytes: usize) {
+        self.seen = Some(Seen {
+            elapsed: self.sent.elapsed(),
+            load,
+            bytes,
+            verdict,
+        });
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        let seen = self.seen.unwrap_or(Seen {
+            elapsed: self.sent.elapsed(),
+            load: None,
+            bytes: 0,
+            verdict: Verdict::Abandoned,
+        });
+        let now = self.state.now();
+        self.state.fleet.borrow_mut().ended(self.id, seen, now);
+    }
+}
+
+/// Sends a request to the backend server `pick` and waits for its answer.
+///
+/// The caller of this function bounds the time; `until` tells the backend server.
+pub async fn send(
+    state: &State,
+    order: &Order,
+    pick: &Pick,
+    connections: u32,
+    until: Instant,
+) -> Outcome {
+    state.fleet.borrow_mut().sent(&pick.id);
+    let mut flight = Flight {
+        state,
+        id: &pick.id,
+        sent: Instant::now(),
+        seen: None,
+    };
+    let need = Need {
+        limit: limit(connections, state.hosts.get()),
+        idle: if order.repeatable {
+            ANY_IDLE
+        } else {
+            UNSURE_IDLE
+        },
+        until,
+    };
+    let mut request = order.request(state.platform.headers(), pick, until);
+    loop {
+        let mut lease = match state.pool.lease(&pick.id, pick.addr, need).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                flight.end(Verdict::Unreachable, None, 0);
+                return Outcome::NotSent(error.to_string());
+            }
+        };
+        match lease.send(request).await {
+            Ok(response) => return receive(state, order, response, lease, &mut flight).await,
+            // A kept connection that its peer had closed: nothing went out, so another one is due.
+            Err((Some(back), _)) if lease.reused => request = back,
+            Err((Some(_), text)) => {
+                flight.end(Verdict::Unreachable, None, 0);
+                return Outcome::NotSent(text);
+            }
+            Err((None, text)) => {
+                flight.end(Verdict::Failed, None, 0);
+                return Outcome::Unknown(text);
+            }
+        }
+    }
+}
+
+/// Returns how many connections to one backend server this host may open.
+fn limit(connections: u32, hosts: u32) -> u32 {
+    let part = f64::from(connections) * CONNECTION_PART / f64::from(hosts.max(1));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of a small positive number"
+    )]
+    let limit = part as u32;
+    limit.max(1)
+}
+
+impl Order {
+    fn request(&self, names: &Headers, pick: &Pick, until: Instant) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        headers.insert(names.deadline.clone(), number(left));
+        if let Ok(id) = HeaderValue::from_str(&pick.id) {
+            headers.insert(names.expect.clone(), id);
+        }
+        request
+    }
+}
+
+fn number(value: u128) -> HeaderValue {
+    HeaderValue::from(u64::try_from(value).unwrap_or(u64::MAX))
+}
+
+async fn receive(
+    state: &State,
+    order: &Order,
+    response: http::Response<Incoming>,
+    lease: Lease,
+    flight: &mut Flight<'_>,
+) -> Outcome {
+    let names = state.platform.headers();
+    let (head, mut body) = response.into_parts();
+    let status = head.status;
+    let load = head
+        .headers
+        .get(&names.load)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| state.platform.load(text));
+    if head.headers.get(&names.request) != order.id.as_ref() && order.id.is_some() {
+        flight.end(Verdict::Failed, load, 0);
+        return Outcome::Unknown("answer to another request".to_owned());
+    }
+    let not_run = head.headers.contains_key(&names.not_run);
+    let stamped = head.headers.contains_key(&names.receipt);
+    let encoded = head.headers.contains_key(CONTENT_ENCODING);
+    if !not_run && (encoded || (status.is_success() && !stamped)) {
+        flight.end(Verdict::Failed, load, 0);
+        return Outcome::Unknown("answer without its receipt".to_owned());
+    }
+    let keep = keep_alive(&head.headers);
+    let held = match hold(&mut body).await {
+        Ok(held) => held,
+        Err(text) => {
+            flight.end(Verdict::Failed, load, 0);
+            return Outcome::Unknown(format!("answer broke off: {text}"));
+        }
+    };
+    if not_run {
+        flight.end(Verdict::Shed, load, 0);
+        if keep.is_some() && matches!(held, Held::Whole(_)) {
+            lease.give_back(keep.flatten());
+        }
+        return Outcome::NotRun(status);
+    }
+    let verdict = if status.is_server_error() {
+        Verdict::Failed
+    } else {
+        Verdict::Served
+    };
+    let mut headers = head.headers;
+    strip(&mut headers);
+    let body = match held {
+        Held::Whole(bytes) => {
+            flight.end(verdict, load, bytes.len());
+            if let Some(keep) = keep {
+                lease.give_back(keep);
+            }
+            whole(bytes)
+        }
+        Held::Start(start) => {
+            flight.end(verdict, load, start.len());
+            stream(start, body, lease)
+        }
+    };
+    Outcome::Answer(Answer {
+        status,
+        headers,
+        body,
+    })
+}
+
+/// What was read of an answer's body before it is passed on.
+enum Held {
+    Whole(Bytes),
+    Start(Bytes),
+}
+
+/// Reads a body to its end, or until it is too large to be held back.
+async fn hold(body: &mut Incoming) -> Result<Held, String> {
+    let mut first: Option<Bytes> = None;
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| crate::pool::cause(&error))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        match &first {
+            None => first = Some(data),
+            Some(start) => {
+                if rest.is_empty() {
+                    rest.extend_from_slice(start);
+                }
+                rest.extend_from_slice(&data);
+            }
+        }
+        if rest.len() > HELD_BYTES {
+            return Ok(Held::Start(rest.freeze()));
+        }
+    }
+    if rest.is_empty() {
+        return Ok(Held::Whole(first.unwrap_or_default()));
+    }
+    Ok(Held::Whole(rest.freeze()))
+}
+
+/// Makes a body of bytes that are all there.
+#[must_use]
+pub fn whole(bytes: Bytes) -> Body {
+    Box::pin(Full::new(bytes).map_err(|never| match never {}))
+}
+
+/// Passes on the rest of a large body while it arrives.
+fn stream(start: Bytes, body: Incoming, lease: Lease) -> Body {
+    let first = futures::stream::once(async move { Ok(Frame::data(start)) });
+    // The lease lives as long as the body: its connection carries nothing else.
+    let rest = BodyStream::new(body).map(move |frame| {
+        let _held = &lease;
+        frame.map_err(|error| Box::new(error) as BodyError)
+    });
+    Box::pin(StreamBody::new(first.chain(rest)))
+}
+
+/// Tells whether a connection may be used again, and for how long it may be idle.
+fn keep_alive(headers: &HeaderMap) -> Option<Option<Duration>> {
+    let closes = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return None;
+    }
+    let timeout = headers.get("keep-alive").and_then(|value| {
+        let text = value.to_str().ok()?;
+        let seconds = text.split(',').find_map(|part| {
+            let (name, value) = part.trim().split_once('=')?;
+            (name == "timeout").then(|| value.parse().ok()).flatten()
+        })?;
+        Some(Duration::from_secs(seconds))
+    });
+    Some(timeout)
+}
+
+/// Headers that concern one connection only, beside those that `Connection` names.
+const HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "upgrade",
+];
+
+/// Removes what concerns one connection, and the length, which is written anew.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+}
--- /dev/null
+++ b/crates/owner/src/balance.rs
@@ -0,0 +1,268 @@
+//! Which keys should be held elsewhere.
+//!
+//! Leaving and lost holders come first. Beyond that a move is worth it only when one server is
+//! clearly busier than the mean; the narrowest range that carries the surplus moves, since moved
+//! keys are priced by their number and not by their traffic.
+
+use crate::loads::Rates;
+use crate::plan::{Former, Holder, Plan, Segment};
+
+/// Backend server that may hold keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The server's present life.
+    pub holder: Holder,
+    /// Requests that it can run at a time, in slots of a server of mean speed.
+    pub capacity: f64,
+}
+
+/// What may be moved, and what it costs.
+pub struct Scene<'a> {
+    /// Servers that take keys.
+    pub candidates: &'a [Candidate],
+    /// Requests a second.
+    pub rates: &'a Rates,
+    /// Time of a request on a server of mean speed, in seconds.
+    pub work_s: f64,
+    /// Number that the next plan's sequence is not below.
+    pub floor: u64,
+    /// Whether a segment's keys are in nobody's transfer, and were not moved just now.
+    pub movable: &'a dyn Fn(&Segment) -> bool,
+    /// Who may hold a segment's keys and must be freed of them before the next holder gets them.
+    pub former: &'a dyn Fn(&Segment) -> Option<Former>,
+}
+
+/// Part above the mean load from which a server gives keys away.
+const HOT: f64 = 1.25;
+/// Load above the mean, as part of a server's slots, below which nothing moves.
+const HOT_STEP: f64 = 0.08;
+/// Part of the mean load below which a server is given keys.
+const IDLE: f64 = 0.4;
+/// Transfers for load in one plan, at most.
+const MAX_MOVES: usize = 6;
+/// Part of a server's fair load that one piece of a leaving server's keys carries at most.
+const PIECE: f64 = 0.34;
+/// Bounds of the load that a moved range carries, as parts of the surplus.
+const FIT: (f64, f64) = (0.5, 1.15);
+
+/// Returns the next plan, or `None` when the present one is good enough.
+#[must_use]
+pub fn next(plan: &Plan, scene: &Scene<'_>) -> Option<Plan> {
+    if scene.candidates.is_empty() {
+        return None;
+    }
+    let mut draft = Draft::new(plan, scene);
+    draft.replace_holders();
+    draft.level();
+    draft.finish()
+}
+
+/// A plan in the making, with the load of each candidate.
+struct Draft<'a> {
+    scene: &'a Scene<'a>,
+    sequence: u64,
+    segments: Vec<Segment>,
+    loads: Vec<f64>,
+    changed: bool,
+}
+
+impl<'a> Draft<'a> {
+    fn new(plan: &Plan, scene: &'a Scene<'a>) -> Self {
+        let mut draft = Self {
+            scene,
+            sequence: scene.floor.max(plan.sequence + 1),
+            segments: plan.segments.clone(),
+            loads: vec![0.0; scene.candidates.len()],
+            changed: false,
+        };
+        for segment in &plan.segments {
+            if let Some(index) = draft.candidate(&segment.holder) {
+                draft.loads[index] += draft.load(segment.from, segment.to);
+            }
+        }
+        draft
+    }
+
+    /// Returns the slots that the traffic of some keys keeps busy, with a little for idle keys.
+    fn load(&self, from: u16, to: u16) -> f64 {
+        let idle = f64::from(to - from) * 1e-6;
+        self.scene.rates.of(from, to) * self.scene.work_s + idle
+    }
+
+    fn candidate(&self, holder: &Holder) -> Option<usize> {
+        let candidates = self.scene.candidates;
+        candidates
+            .iter()
+            .position(|candidate| candidate.holder == *holder)
+    }
+
+    fn use_of(&self, index: usize) -> f64 {
+        self.loads[index] / self.scene.candidates[index].capacity.max(0.01)
+    }
+
+    fn mean_use(&self) -> f64 {
+        let capacity: f64 = self.scene.candidates.iter().map(|c| c.capacity).sum();
+        self.loads.iter().sum::<f64>() / capacity.max(0.01)
+    }
+
+    fn coldest(&self) -> usize {
+        let order =
+            |left: &usize, right: &usize| self.use_of(*left).total_cmp(&self.use_of(*right));
+        (0..self.loads.len()).min_by(order).unwrap_or_default()
+    }
+
+    fn hottest(&self) -> usize {
+        let order =
+            |left: &usize, right: &usize| self.use_of(*left).total_cmp(&self.use_of(*right));
+        (0..self.loads.len()).max_by(order).unwrap_or_default()
+    }
+
+    /// Gives the keys of holders that take none any more to others.
+    fn replace_holders(&mut self) {
+        let segments = std::mem::take(&mut self.segments);
+        for segment in segments {
+            if self.candidate(&segment.holder).is_some() || !(self.scene.movable)(&segment) {
+                self.segments.push(segment);
+                continue;
+            }
+            self.changed = true;
+            match self.reborn(&segment.holder) {
+                Some(index) => self.hand(&segment, segment.from, segment.to, index),
+                None => self.scatter(&segment),
+            }
+        }
+    }
+
+    /// Returns the next life of a holder, if it takes keys.
+    fn reborn(&self, holder: &Holder) -> Option<usize> {
+        let candidates = self.scene.candidates;
+        candidates
+            .iter()
+            .position(|candidate| candidate.holder.id == holder.id)
+    }
+
+    /// Deals the keys of a segment to the least busy servers, in pieces of a limited load.
+    fn scatter(&mut self, segment: &Segment) {
+        let all: f64 = self.loads.iter().sum::<f64>() + self.load(segment.from, segment.to);
+        let count = u32::try_from(self.scene.candidates.len()).unwrap_or(u32::MAX);
+        let most = (all / f64::from(count)) * PIECE;
+        let mut from = segment.from;
+        loop {
+            let mut to = from;
+            while to < segment.to && self.load(from, to + 1) <= most {
+                to += 1;
+            }
+            let index = self.coldest();
+            self.hand(segment, from, to, index);
+            if to == segment.to {
+                return;
+            }
+            from = to + 1;
+        }
+    }
+
+    /// Adds a piece of `segment` that candidate `index` is to hold next.
+    fn hand(&mut self, segment: &Segment, from: u16, to: u16, index: usize) {
+        self.loads[index] += self.load(from, to);
+        self.segments.push(Segment {
+            from,
+            to,
+            fence: self.sequence,
+            holder: self.scene.candidates[index].holder.clone(),
+            former: (self.scene.former)(segment),
+        });
+    }
+
+    /// Moves load from the busiest to the least busy servers.
+    fn level(&mut self) {
+        for _ in 0..MAX_MOVES {
+            let mean = self.mean_use();
+            let (hot, cold) = (self.hottest(), self.coldest());
+            let over = self.use_of(hot) - mean;
+            let under = mean - self.use_of(cold);
+            let idle = self.use_of(cold) < mean * IDLE;
+            if over < (mean * (HOT - 1.0)).max(HOT_STEP) && !idle {
+                return;
+            }
+            let candidates = self.scene.candidates;
+            let spare = under * candidates[cold].capacity;
+            let surplus = if idle {
+                spare * 0.6
+            } else {
+                spare.min(over * candidates[hot].capacity)
+            };
+            let Some(range) = self.narrowest(hot, surplus) else {
+                return;
+            };
+            self.cut(range, hot, cold);
+        }
+    }
+
+    /// Finds the narrowest range of a server's keys that carries about `surplus`.
+    fn narrowest(&self, index: usize, surplus: f64) -> Option<Range> {
+        let holder = &self.scene.candidates[index].holder;
+        let mut best: Option<Range> = None;
+        for (place, segment) in self.segments.iter().enumerate() {
+            let fixed = segment.fence == self.sequence || !(self.scene.movable)(segment);
+            if segment.holder != *holder || fixed {
+                continue;
+            }
+            let mut to = segment.from;
+            for from in segment.from..=segment.to {
+                to = to.max(from);
+                while to < segment.to && self.load(from, to + 1) <= surplus * FIT.1 {
+                    to += 1;
+                }
+                let load = self.load(from, to);
+                let fits = load >= surplus * FIT.0 && load <= surplus * FIT.1;
+                if !fits {
+                    continue;
+                }
+                let width = to - from;
+                if best.is_none_or(|best| width < best.to - best.from) {
+                    best = Some(Range { place, from, to });
+                }
+            }
+        }
+        best
+    }
+
+    /// Cuts a range out of its segment for another server.
+    fn cut(&mut self, range: Range, hot: usize, cold: usize) {
+        let segment = self.segments[range.place].clone();
+        self.loads[hot] -= self.load(range.from, range.to);
+        let mut pieces = Vec::with_capacity(3);
+        if segment.from < range.from {
+            pieces.push(Segment {
+                to: range.from - 1,
+                ..segment.clone()
+            });
+        }
+        self.hand(&segment, range.from, range.to, cold);
+        pieces.extend(self.segments.pop());
+        if range.to < segment.to {
+            pieces.push(Segment {
+                from: range.to + 1,
+                ..segment
+            });
+        }
+        self.segments.splice(range.place..=range.place, pieces);
+        self.changed = true;
+    }
+
+    fn finish(self) -> Option<Plan> {
+        let plan = Plan {
+            sequence: self.sequence,
+            segments: self.segments,
+        };
+        (self.changed && plan.is_whole()).then_some(plan)
+    }
+}
+
+/// Keys of one segment.
+#[derive(Clone, Copy, Debug)]
+struct Range {
+    place: usize,
+    from: u16,
+    to: u16,
+}
--- /dev/null
+++ b/crates/owner/src/granter.rs
@@ -0,0 +1,512 @@
+//! Sends grants, and proves before each that nobody else can hold its keys.
+
+use std::time::Duration;
+
+use tarragon_model::time::Instant;
+
+use crate::balance::{self, Candidate, Scene};
+use crate::loads::Rates;
+use crate::plan::{Former, Holder, Plan, Segment};
+
+/// Times that the granter goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time that a grant holds, from its arrival.
+    pub hold: Duration,
+    /// Time between two renewals of a grant.
+    pub renewal: Duration,
+    /// Time after which a grant without an answer is sent again.
+    pub retry: Duration,
+    /// Time after which a release without an answer is sent again; it waits for running work.
+    pub release: Duration,
+    /// Time after a grant's end for which it may still hold: clocks of backend servers run slow.
+    pub margin: Duration,
+    /// Time for which keys stay where they are after a transfer.
+    pub rest: Duration,
+}
+
+impl Timing {
+    /// Derives all times from how long a grant holds.
+    #[must_use]
+    pub fn with_hold(hold: Duration) -> Self {
+        Self {
+            hold,
+            renewal: hold / 4,
+            retry: Duration::from_millis(300),
+            release: Duration::from_millis(1_200),
+            margin: hold / 25 + Duration::from_millis(200),
+            rest: Duration::from_millis(2_500),
+        }
+    }
+}
+
+/// What the granter knows of the process that a holder is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It may run.
+    Possible,
+    /// That process has ended, by proof.
+    Ended,
+}
+
+/// Order to a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// What is ordered.
+    pub task: Task,
+    /// Backend server that gets the order.
+    pub server: Holder,
+    /// First key.
+    pub from: u16,
+    /// Last key.
+    pub to: u16,
+    /// Fence number.
+    pub fence: u64,
+    /// What the former holder handed over, for the first grant after a transfer.
+    pub handover: Option<String>,
+}
+
+/// What an order is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Task {
+    /// Hold the keys, or hold them longer.
+    Grant,
+    /// Give the keys back.
+    Release,
+}
+
+/// How an order ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It was carried out; a release may hand something over.
+    Done {
+        /// What the former holder handed over.
+        handover: Option<String>,
+    },
+    /// The backend server has seen a higher fence number.
+    Outdated,
+    /// Whether it was, or will be, carried out is not known.
+    Unknown,
+}
+
+/// Seeded faults, for tests that must be able to fail.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Flaw {
+    /// No fault.
+    #[default]
+    None,
+    /// Grants keys on without waiting for the end of the former holder's grant.
+    NoWait,
+    /// Goes on renewing after it was told that another process grants.
+    RenewAfterYield,
+}
+
+/// What stands between the former and the next holder of some keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The former holder may hold them until then; `None` while nobody can say until when.
+    Freeing(Former, Option<Instant>),
+    /// The holder may be granted them.
+    Free,
+}
+
+/// One segment of the plan in force, and what was ordered for it.
+#[derive(Clone, Debug)]
+struct Tenure {
+    segment: Segment,
+    stage: Stage,
+    handover: Option<String>,
+    /// Latest moment at which the holder may hold the keys by an order of this granter.
+    held_until: Option<Instant>,
+    /// Whether a granter before this one may have sent grants under this fence number.
+    inherited: bool,
+    /// Whether the holder has taken a grant under this fence number.
+    taken: bool,
+    pending: Option<Instant>,
+    renewed: Option<Instant>,
+    since: Instant,
+    outdated: bool,
+}
+
+/// Grants the keys of one service.
+#[derive(Debug)]
+pub struct Granter {
+    timing: Timing,
+    plan: Plan,
+    tenures: Vec<Tenure>,
+    /// When every earlier granter had surely stopped, if that is known.
+    alone_since: Option<Instant>,
+    flaw: Flaw,
+    yielded: bool,
+}
+
+/// What the granter needs to know to plan.
+pub struct View<'a> {
+    /// Servers that take keys.
+    pub candidates: &'a [Candidate],
+    /// Requests a second.
+    pub rates: &'a Rates,
+    /// Time of a request on a server of mean speed, in seconds.
+    pub work_s: f64,
+    /// Number that the next plan's sequence is not below.
+    pub floor: u64,
+}
+
+impl Granter {
+    /// Takes up a plan that the store holds.
+    ///
+    /// `alone` says that no earlier granter can still send orders.
+    #[must_use]
+    pub fn new(plan: Plan, alone: bool, timing: Timing, now: Instant) -> Self {
+        let tenures = plan
+            .segments
+            .iter()
+            .map(|segment| Tenure::inherit(segment, now))
+            .collect();
+        Self {
+            timing,
+            plan,
+            tenures,
+            alone_since: alone.then_some(now),
+            flaw: Flaw::None,
+            yielded: false,
+        }
+    }
+
+    /// Seeds a fault.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn flawed(mut self, flaw: Flaw) -> Self {
+        self.flaw = flaw;
+        self
+    }
+
+    /// Returns the plan in force.
+    #[must_use]
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Notes that every earlier granter has stopped.
+    pub fn alone(&mut self, now: Instant) {
+        self.alone_since.get_or_insert(now);
+    }
+
+    /// Notes that another process grants now; this one sends nothing more.
+    pub fn yield_office(&mut self) {
+        self.yielded = self.flaw != Flaw::RenewAfterYield;
+    }
+
+    /// Tells whether the holder of a segment has taken its grant.
+    #[must_use]
+    pub fn taken(&self, from: u16) -> bool {
+        let tenure = self.tenures.iter().find(|t| t.segment.from == from);
+        tenure.is_some_and(|tenure| tenure.taken)
+    }
+
+    /// Returns the next plan to write to the store, if the present one is to be changed.
+    #[must_use]
+    pub fn propose(
+        &self,
+        view: &View<'_>,
+        life: &dyn Fn(&Holder) -> Life,
+        now: Instant,
+    ) -> Option<Plan> {
+        let movable = |segment: &Segment| {
+            let tenure = self.tenure(segment);
+            tenure.is_some_and(|tenure| self.movable(tenure, view, life, now))
+        };
+        let former = |segment: &Segment| {
+            let tenure = self.tenure(segment)?;
+            tenure.holders_to_free()
+        };
+        let scene = Scene {
+            candidates: view.candidates,
+            rates: view.rates,
+            work_s: view.work_s,
+            floor: view.floor,
+            movable: &movable,
+            former: &former,
+        };
+        let settled = self.settled();
+        let next = balance::next(&settled, &scene);
+        if !self.is_outdated() {
+            return next;
+        }
+        let next = next.unwrap_or_else(|| Plan {
+            sequence: view.floor.max(settled.sequence + 1),
+            ..settled
+        });
+        Some(self.refence(next))
+    }
+
+    /// Gives a new fence number to the keys whose holder has seen a higher one than the plan's.
+    fn refence(&self, mut plan: Plan) -> Plan {
+        let sequence = plan.sequence;
+        for segment in &mut plan.segments {
+            let outdated = self.tenure(segment).is_some_and(|tenure| tenure.outdated);
+            if outdated && segment.fence != sequence {
+                segment.fence = sequence;
+            }
+        }
+        plan
+    }
+
+    /// Returns the plan in force without the former holders that are freed for good.
+    fn settled(&self) -> Plan {
+        let mut plan = self.plan.clone();
+        for (segment, tenure) in plan.segments.iter_mut().zip(&self.tenures) {
+            if tenure.taken {
+                segment.former = None;
+            }
+        }
+        plan
+    }
+
+    /// Tells whether the keys of a tenure may get another holder.
+    ///
+    /// Keys that still are to be freed of one holder are not promised to a third.
+    fn movable(
+        &self,
+        tenure: &Tenure,
+        view: &View<'_>,
+        life: &dyn Fn(&Holder) -> Life,
+        now: Instant,
+    ) -> bool {
+        let holder = &tenure.segment.holder;
+        let stays = view.candidates.iter().any(|c| c.holder == *holder);
+        if let Stage::Freeing(former, _) = &tenure.stage {
+            let dead = life(holder) == Life::Ended;
+            return dead && life(&former.holder) == Life::Ended;
+        }
+        if !stays {
+            return true;
+        }
+        if tenure.outdated {
+            return false;
+        }
+        tenure.taken && now.since(tenure.since) >= self.timing.rest
+    }
+
+    fn tenure(&self, segment: &Segment) -> Option<&Tenure> {
+        let index = self
+            .tenures
+            .partition_point(|tenure| tenure.segment.to < segment.from);
+        self.tenures.get(index)
+    }
+
+    /// Puts a plan into force that the store has taken.
+    pub fn adopt(&mut self, plan: Plan, now: Instant) {
+        let former = std::mem::take(&mut self.tenures);
+        self.tenures = plan
+            .segments
+            .iter()
+            .map(|segment| self.succeed(&former, segment, now))
+            .collect();
+        self.plan = plan;
+    }
+
+    /// Makes the tenure of a segment out of the one that had its keys before.
+    fn succeed(&self, former: &[Tenure], segment: &Segment, now: Instant) -> Tenure {
+        let index = former.partition_point(|tenure| tenure.segment.to < segment.from);
+        let Some(before) = former.get(index) else {
+            return Tenure::inherit(segment, now);
+        };
+        if before.segment.fence == segment.fence {
+            return Tenure {
+                segment: segment.clone(),
+                ..before.clone()
+            };
+        }
+        let stage = match &segment.former {
+            None => Stage::Free,
+            Some(former) => Stage::Freeing(former.clone(), self.end_of(before)),
+        };
+        Tenure {
+            segment: segment.clone(),
+            stage,
+            handover: None,
+            held_until: None,
+            inherited: false,
+            taken: false,
+            pending: None,
+            renewed: None,
+            since: now,
+            outdated: false,
+        }
+    }
+
+    /// Returns until when the holder of a tenure may hold its keys, if that is known.
+    fn end_of(&self, tenure: &Tenure) -> Option<Instant> {
+        let own = tenure.held_until.unwrap_or(Instant::ZERO);
+        if !tenure.inherited {
+            return Some(own);
+        }
+        let inherited = self.alone_since? + self.timing.hold + self.timing.margin;
+        Some(own.max(inherited))
+    }
+
+    /// Returns the orders that are due.
+    ///
+    /// `life` tells what is known of a holder's process.
+    pub fn orders(&mut self, life: &dyn Fn(&Holder) -> Life, now: Instant) -> Vec<Order> {
+        if self.yielded {
+            return Vec::new();
+        }
+        let timing = self.timing;
+        let flaw = self.flaw;
+        let inherited_end = self.alone_since.map(|at| at + timing.hold + timing.margin);
+        let mut orders = Vec::new();
+        for tenure in &mut self.tenures {
+            tenure.advance(life, inherited_end, flaw, now);
+            if tenure.due(life, &timing, now) {
+                orders.push(tenure.order(&timing, now));
+            }
+        }
+        orders
+    }
+
+    /// Takes in how an order ended; returns whether the keys found their holder by it.
+    pub fn ended(&mut self, order: &Order, sent: Instant, reply: Reply) -> bool {
+        let index = self
+            .tenures
+            .partition_point(|tenure| tenure.segment.to < order.from);
+        // A part of an order's keys may have been planned anew since: each tenure decides itself.
+        let mut found = false;
+        for tenure in &mut self.tenures[index..] {
+            if tenure.segment.from > order.to {
+                break;
+            }
+            found |= tenure.ended(order, sent, &reply);
+        }
+        found
+    }
+
+    /// Tells whether a backend server has seen a fence number that the plan does not know.
+    #[must_use]
+    pub fn is_outdated(&self) -> bool {
+        self.tenures.iter().any(|tenure| tenure.outdated)
+    }
+}
+
+impl Tenure {
+    /// Takes up a segment of a plan that another granter may have acted on.
+    fn inherit(segment: &Segment, now: Instant) -> Self {
+        let stage = match &segment.former {
+            None => Stage::Free,
+            Some(former) => Stage::Freeing(former.clone(), None),
+        };
+        Self {
+            segment: segment.clone(),
+            stage,
+            handover: None,
+            held_until: None,
+            inherited: true,
+            taken: false,
+            pending: None,
+            renewed: None,
+            since: now,
+            outdated: false,
+        }
+    }
+
+    /// Returns who must be freed of the keys before yet another server gets them.
+    fn holders_to_free(&self) -> Option<Former> {
+        match &self.stage {
+            Stage::Freeing(former, _) => Some(former.clone()),
+            Stage::Free => Some(Former {
+                holder: self.segment.holder.clone(),
+                fence: self.segment.fence,
+            }),
+        }
+    }
+
+    /// Ends the wait for the former holder where it is over.
+    fn advance(
+        &mut self,
+        life: &dyn Fn(&Holder) -> Life,
+        inherited_end: Option<Instant>,
+        flaw: Flaw,
+        now: Instant,
+    ) {
+        let Stage::Freeing(former, end) = &self.stage else {
+            return;
+        };
+        let end = end.or(inherited_end);
+        let over = end.is_some_and(|end| now > end);
+        if over || life(&former.holder) == Life::Ended || flaw == Flaw::NoWait {
+            self.stage = Stage::Free;
+            self.pending = None;
+        }
+    }
+
+    /// Tells whether an order should be sent now.
+    fn due(&self, life: &dyn Fn(&Holder) -> Life, timing: &Timing, now: Instant) -> bool {
+        let retry = match &self.stage {
+            Stage::Freeing(..) => timing.release,
+            Stage::Free => timing.retry,
+        };
+        if self.pending.is_some_and(|at| now.since(at) < retry) || self.outdated {
+            return false;
+        }
+        match &self.stage {
+            Stage::Freeing(..) => true,
+            Stage::Free if life(&self.segment.holder) == Life::Ended => false,
+            Stage::Free => self
+                .renewed
+                .is_none_or(|at| now.since(at) >= timing.renewal),
+        }
+    }
+
+    fn order(&mut self, timing: &Timing, now: Instant) -> Order {
+        self.pending = Some(now);
+        let (task, server) = match &self.stage {
+            Stage::Freeing(former, _) => (Task::Release, former.holder.clone()),
+            Stage::Free => {
+                let until = now + timing.hold + timing.margin;
+                self.held_until = Some(self.held_until.map_or(until, |held| held.max(until)));
+                (Task::Grant, self.segment.holder.clone())
+            }
+        };
+        Order {
+            task,
+            server,
+            from: self.segment.from,
+            to: self.segment.to,
+            fence: self.segment.fence,
+            handover: self.handover.clone().filter(|_| !self.taken),
+        }
+    }
+
+    fn ended(&mut self, order: &Order, sent: Instant, reply: &Reply) -> bool {
+        if order.fence != self.segment.fence {
+            return false;
+        }
+        match (order.task, reply) {
+            (Task::Release, Reply::Done { handover }) => {
+                if let Stage::Freeing(former, _) = &self.stage
+                    && former.holder == order.server
+                {
+                    self.stage = Stage::Free;
+                    self.handover.clone_from(handover);
+                    self.pending = None;
+                }
+                false
+            }
+            (Task::Grant, Reply::Done { .. }) => {
+                let first = !self.taken;
+                self.taken = true;
+                self.pending = None;
+                self.renewed = Some(self.renewed.map_or(sent, |at| at.max(sent)));
+                first
+            }
+            (Task::Grant, Reply::Outdated) => {
+                self.outdated = true;
+                self.pending = None;
+                false
+            }
+            (Task::Release, Reply::Outdated) | (_, Reply::Unknown) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/plan.rs
@@ -0,0 +1,125 @@
+//! Which backend server is to hold which keys, as the store keeps it.
+
+use serde::{Deserialize, Serialize};
+
+/// Largest key.
+pub const LAST_KEY: u16 = u16::MAX;
+
+/// One life of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// Identifier of the backend server.
+    pub id: String,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    pub born: u64,
+}
+
+/// Who held keys before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Former {
+    /// The former holder.
+    pub holder: Holder,
+    /// Fence number under which it held the keys.
+    pub fence: u64,
+}
+
+/// Keys that one backend server is to hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Segment {
+    /// First key.
+    pub from: u16,
+    /// Last key.
+    pub to: u16,
+    /// Fence number of the grants.
+    pub fence: u64,
+    /// Backend server that is to hold the keys.
+    pub holder: Holder,
+    /// Who may still hold the keys, until the first grant to `holder` is known to be allowed.
+    pub former: Option<Former>,
+}
+
+/// Plan for all keys of one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Number of the version; also the highest fence number used so far.
+    pub sequence: u64,
+    /// Segments in the order of their keys; together they cover every key once.
+    pub segments: Vec<Segment>,
+}
+
+impl Plan {
+    /// Deals the keys evenly, by weight, to holders that start with nothing.
+    ///
+    /// ```
+    /// use tarragon_owner::plan::{Holder, Plan};
+    ///
+    /// let holder = |id: &str| Holder { id: id.to_owned(), born: 1 };
+    /// let plan = Plan::deal(&[(holder("a"), 1.0), (holder("b"), 1.0)], 7);
+    /// assert_eq!(plan.find(0).unwrap().holder.id, "a");
+    /// assert_eq!(plan.find(65_535).unwrap().holder.id, "b");
+    /// ```
+    #[must_use]
+    pub fn deal(holders: &[(Holder, f64)], sequence: u64) -> Self {
+        let total: f64 = holders.iter().map(|(_, weight)| weight).sum();
+        let mut segments = Vec::with_capacity(holders.len());
+        let mut from: u32 = 0;
+        let mut dealt = 0.0;
+        for (index, (holder, weight)) in holders.iter().enumerate() {
+            dealt += weight;
+            let last = index + 1 == holders.len();
+            let end = if last {
+                u32::from(LAST_KEY) + 1
+            } else {
+                boundary(dealt / total)
+            };
+            if end > from {
+                segments.push(Segment {
+                    from: key(from),
+                    to: key(end - 1),
+                    fence: sequence,
+                    holder: holder.clone(),
+                    former: None,
+                });
+                from = end;
+            }
+        }
+        Self { sequence, segments }
+    }
+
+    /// Returns the segment that holds a key.
+    #[must_use]
+    pub fn find(&self, key: u16) -> Option<&Segment> {
+        let index = self.segments.partition_point(|segment| segment.to < key);
+        self.segments
+            .get(index)
+            .filter(|segment| segment.from <= key)
+    }
+
+    /// Tells whether the segments cover every key exactly once.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        let mut next: u32 = 0;
+        for segment in &self.segments {
+            if u32::from(segment.from) != next || segment.to < segment.from {
+                return false;
+            }
+            next = u32::from(segment.to) + 1;
+        }
+        next == u32::from(LAST_KEY) + 1
+    }
+}
+
+fn boundary(part: f64) -> u32 {
+    let keys = f64::from(LAST_KEY) + 1.0;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the product is clamped into the range of keys"
+    )]
+    let end = (part * keys).clamp(0.0, keys) as u32;
+    end
+}
+
+fn key(value: u32) -> u16 {
+    u16::try_from(value).unwrap_or(LAST_KEY)
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,10 +10,8 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use http::{Method, StatusCode};
+use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 use volo_http::body::Body;
@@ -21,6 +19,7 @@
 use volo_http::error::ClientError;
 
 use crate::api::{Answer, Api};
+use crate::dialect::{Call, Dialect, Native};
 use crate::error::{Error, Kind, Step};
 use crate::object::{Changes, Key, List, Object, Version};
 
@@ -36,6 +35,7 @@
     http: volo_http::client::Client,
     peer: SocketAddr,
     timeout: Duration,
+    dialect: Box<dyn Dialect>,
 }
 
 impl Client {
@@ -52,6 +52,19 @@
     ///
     /// [`Kind::Invalid`] when the HTTP client cannot be built.
     pub fn new(peer: SocketAddr, timeout: Duration) -> Result<Self, Error> {
+        Self::speaking(Box::new(Native), peer, timeout)
+    }
+
+    /// Creates a client for a platform that spells its calls as `dialect` says.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Invalid`] when the HTTP client cannot be built.
+    pub fn speaking(
+        dialect: Box<dyn Dialect>,
+        peer: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, Error> {
         let http = ClientBuilder::new().build().map_err(|error| {
             let kind = Kind::Invalid(error.to_string());
             Error::new(Step::Build, "client", &peer.to_string(), kind)
@@ -60,29 +73,35 @@
             http,
             peer,
             timeout,
+            dialect,
         })
     }
 
     /// Sends a call and returns the status and the body of the answer.
-    async fn send(&self, call: Call<'_>, stop: &CancellationToken) -> Result<Reply, Kind> {
+    async fn send(&self, task: Task<'_>, stop: &CancellationToken) -> Result<Bytes, Kind> {
         if stop.is_cancelled() {
             return Err(Kind::Cancelled);
         }
-        let during = call.step;
-        let limit = self.timeout + call.wait;
-        let exchange = tokio::time::timeout(limit, self.exchange(call));
-        tokio::select! {
+        let during = task.step;
+        let limit = self.timeout + task.wait;
+        let exchange = tokio::time::timeout(limit, self.exchange(task));
+        let reply = tokio::select! {
             biased;
             () = stop.cancelled() => Err(cancelled(during)),
             reply = exchange => reply.unwrap_or_else(|_| Err(lost(during, "timeout"))),
-        }
+        }?;
+        self.accept(during, reply)
     }
 
-    async fn exchange(&self, call: Call<'_>) -> Result<Reply, Kind> {
-        let step = call.step;
+    async fn exchange(&self, task: Task<'_>) -> Result<Reply, Kind> {
+        let Task { step, call, .. } = task;
         let uri = format!("http://{}{}", self.peer, call.path);
-        let request = self.http.request(call.method, uri).data(call.body);
+        let mut request = self.http.request(call.method, uri);
+        if !call.body.is_empty() {
+            request = request.header(http::header::CONTENT_TYPE, "application/json");
+        }
         let response = request
+            .data(call.body)
             .send()
             .await
             .map_err(|error| classify(step, &error))?;
@@ -96,36 +115,73 @@
         })
     }
 
-    /// Sends a call and reads the answer as a `T`.
-    async fn call<T: DeserializeOwned>(
+    /// Sends a call and reads the answer with `read`.
+    async fn call<T>(
         &self,
-        call: Call<'_>,
+        task: Task<'_>,
         stop: &CancellationToken,
+        read: impl FnOnce(&[u8]) -> Result<T, String>,
     ) -> Result<T, Error> {
-        let during = call.step;
-        let object = call.object.to_string();
-        let reply = self.send(call, stop).await;
-        reply
-            .and_then(|reply| read(during, &reply))
+        let during = task.step;
+        let object = task.object.to_string();
+        let body = self.send(task, stop).await;
+        body.and_then(|body| read(&body).map_err(|text| unreadable(during, text)))
             .map_err(|kind| Error::new(during, &object, &self.peer.to_string(), kind))
     }
+
+    /// Returns the body of a success, or what the status of a failure tells.
+    fn accept(&self, step: Step, reply: Reply) -> Result<Bytes, Kind> {
+        match reply.status {
+            StatusCode::OK | StatusCode::CREATED => Ok(reply.body),
+            StatusCode::NOT_FOUND => Err(Kind::NotFound),
+            StatusCode::CONFLICT => Err(match self.dialect.version(&reply.body) {
+                Ok(version) => Kind::Conflict { version },
+                Err(text) => Kind::Corrupt(text),
+            }),
+            StatusCode::GONE => Err(Kind::TooOld),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(Kind::TooLarge),
+            StatusCode::TOO_MANY_REQUESTS => Err(Kind::Throttled),
+            StatusCode::SERVICE_UNAVAILABLE => Err(Kind::Away("status 503".to_owned())),
+            status if status.is_client_error() => Err(Kind::Refused {
+                status: status.as_u16(),
+            }),
+            status => Err(lost(step, &format!("status {status}"))),
+        }
+    }
+
+    /// Reads one part of a list after the other.
+    async fn pages(&self, kind: &str, stop: &CancellationToken) -> Result<List, Error> {
+        let mut whole = List::default();
+        loop {
+            let after = whole.items.last().map(|object| object.name.as_str());
+            let task = Task::new(Step::List, &kind, self.dialect.list(kind, after));
+            let read = |body: &[u8]| self.dialect.page(kind, body);
+            let page = self.call(task, stop, read).await?;
+            // Changes behind the first part's revision are heard again by watching from it.
+            if whole.items.is_empty() {
+                whole.revision = page.list.revision;
+            }
+            let ended = !page.more || page.list.items.is_empty();
+            whole.items.extend(page.list.items);
+            if ended {
+                return Ok(whole);
+            }
+        }
+    }
 }
 
 impl Api for Client {
     fn get<'a>(&'a self, key: Key<'a>, stop: &'a CancellationToken) -> Answer<'a, Object> {
         async move {
-            let call = Call::read(Step::Get, &key, format!("/v1/objects/{key}"));
-            self.call(call, stop).await
+            let task = Task::new(Step::Get, &key, self.dialect.get(key));
+            let read = |body: &[u8]| self.dialect.object(key.kind, body);
+            self.call(task, stop, read).await
         }
         .boxed()
     }
 
     fn list<'a>(&'a self, kind: &'a str, stop: &'a CancellationToken) -> Answer<'a, List> {
-        async move {
-            let call = Call::read(Step::List, &kind, format!("/v1/objects/{kind}"));
-            self.call(call, stop).await
-        }
-        .boxed()
+        self.pages(kind, stop).boxed()
     }
 
     fn put<'a>(
@@ -136,26 +192,15 @@
         stop: &'a CancellationToken,
     ) -> Answer<'a, Version> {
         async move {
-            let body = value.to_string();
-            if body.len() > MAX_VALUE_BYTES {
+            let call = self.dialect.put(key, expected, value);
+            if call.body.len() > MAX_VALUE_BYTES {
                 let peer = self.peer.to_string();
-                return Err(Error::new(
-                    Step::Put,
-                    &key.to_string(),
-                    &peer,
-                    Kind::TooLarge,
-                ));
+                let object = key.to_string();
+                return Err(Error::new(Step::Put, &object, &peer, Kind::TooLarge));
             }
-            let call = Call {
-                step: Step::Put,
-                object: &key,
-                method: Method::PUT,
-                path: format!("/v1/objects/{key}?if_version={expected}"),
-                body: Bytes::from(body),
-                wait: Duration::ZERO,
-            };
-            let written: Written = self.call(call, stop).await?;
-            Ok(written.version)
+            let task = Task::new(Step::Put, &key, call);
+            self.call(task, stop, |body| self.dialect.version(body))
+                .await
         }
         .boxed()
     }
@@ -167,15 +212,8 @@
         stop: &'a CancellationToken,
     ) -> Answer<'a, ()> {
         async move {
-            let call = Call {
-                step: Step::Delete,
-                object: &key,
-                method: Method::DELETE,
-                path: format!("/v1/objects/{key}?if_version={expected}"),
-                body: Bytes::new(),
-                wait: Duration::ZERO,
-            };
-            self.call::<Value>(call, stop).await.map(|_| ())
+            let task = Task::new(Step::Delete, &key, self.dialect.delete(key, expected));
+            self.call(task, stop, |_| Ok(())).await
         }
         .boxed()
     }
@@ -188,36 +226,32 @@
         stop: &'a CancellationToken,
     ) -> Answer<'a, Changes> {
         async move {
-            let millis = wait.as_millis();
-            let path = format!("/v1/watch/{kind}?after={after}&timeout_ms={millis}");
-            let call = Call {
+            let call = self.dialect.watch(kind, after, wait.as_millis());
+            let task = Task {
                 wait,
-                ..Call::read(Step::Watch, &kind, path)
+                ..Task::new(Step::Watch, &kind, call)
             };
-            self.call(call, stop).await
+            let read = |body: &[u8]| self.dialect.changes(kind, body);
+            self.call(task, stop, read).await
         }
         .boxed()
     }
 }
 
-/// One call, ready to be sent.
-struct Call<'a> {
+/// One call, ready to be sent, and what it is about.
+struct Task<'a> {
     step: Step,
     object: &'a (dyn std::fmt::Display + Sync),
-    method: Method,
-    path: String,
-    body: Bytes,
+    call: Call,
     wait: Duration,
 }
 
-impl<'a> Call<'a> {
-    fn read(step: Step, object: &'a (dyn std::fmt::Display + Sync), path: String) -> Self {
+impl<'a> Task<'a> {
+    fn new(step: Step, object: &'a (dyn std::fmt::Display + Sync), call: Call) -> Self {
         Self {
             step,
             object,
-            method: Method::GET,
-            path,
-            body: Bytes::new(),
+            call,
             wait: Duration::ZERO,
         }
     }
@@ -228,45 +262,16 @@
     body: Bytes,
 }
 
-#[derive(Deserialize)]
-struct Written {
-    version: Version,
-}
-
 async fn collect(body: Body) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await?;
     Ok(body.to_bytes())
 }
 
-fn read<T: DeserializeOwned>(step: Step, reply: &Reply) -> Result<T, Kind> {
-    match reply.status {
-        StatusCode::OK => serde_json::from_slice(&reply.body).map_err(|error| {
-            let text = error.to_string();
-            if step.is_write() {
-                Kind::Uncertain(text)
-            } else {
-                Kind::Corrupt(text)
-            }
-        }),
-        StatusCode::NOT_FOUND => Err(Kind::NotFound),
-        StatusCode::CONFLICT => Err(conflict(&reply.body)),
-        StatusCode::GONE => Err(Kind::TooOld),
-        StatusCode::PAYLOAD_TOO_LARGE => Err(Kind::TooLarge),
-        StatusCode::TOO_MANY_REQUESTS => Err(Kind::Throttled),
-        StatusCode::SERVICE_UNAVAILABLE => Err(Kind::Away("status 503".to_owned())),
-        status if status.is_client_error() => Err(Kind::Refused {
-            status: status.as_u16(),
-        }),
-        status => Err(lost(step, &format!("status {status}"))),
-    }
-}
-
-fn conflict(body: &[u8]) -> Kind {
-    match serde_json::from_slice::<Written>(body) {
-        Ok(written) => Kind::Conflict {
-            version: written.version,
-        },
-        Err(error) => Kind::Corrupt(error.to_string()),
+fn unreadable(step: Step, text: String) -> Kind {
+    if step.is_write() {
+        Kind::Uncertain(text)
+    } else {
+        Kind::Corrupt(text)
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod api;
 pub mod client;
+pub mod dialect;
 pub mod error;
 pub mod object;
 pub mod update;
