Let the granter alone watch the store and tell the other hosts what changed

Ruled out: stale reads (they may be seconds old; the bound of config is two). Change: followers live on the granter's news while they are younger than 2.2 s; maps travel as patches; the caller's socket is watched beside the HTTP library; a drain margin of 700 ms.

--- a/crates/edge/src/facts.rs
+++ b/crates/edge/src/facts.rs
@@ -1,10 +1,15 @@
 //! What the store tells: the catalog and the entries of backend servers.
+//!
+//! Each call of the store is priced, so only the granter watches it all the time and tells the
+//! other hosts. A host that does not hear the granter, or whose granter has not heard the store
+//! for a while, watches by itself.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tarragon_model::time::Instant;
 use tarragon_store::api::Api;
 use tarragon_store::error::{Error, Kind};
@@ -12,8 +17,12 @@
 
 use crate::state::State;
 
-/// Time that a watch waits for changes.
-const WATCH: Duration = Duration::from_millis(2_000);
+/// Time that a watch waits for changes; a watch that went silent shows after it.
+const WATCH: Duration = Duration::from_millis(1_000);
+/// Age up to which the facts of the granter spare a host its own calls.
+const FRESH: Duration = Duration::from_millis(2_200);
+/// Time between two looks at whether the granter's facts are fresh.
+const LOOK: Duration = Duration::from_millis(100);
 /// Pause after the first call that failed; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after calls that failed.
@@ -31,13 +40,48 @@
     entries_revision: Cell<Version>,
     returned: Cell<Option<Instant>>,
     failing: Cell<bool>,
+    seen: [Cell<Instant>; 2],
+    relayed_until: Cell<Instant>,
+    news: RefCell<News>,
+}
+
+/// What changed since other hosts were told.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// Revision of the entries that the news follow.
+    pub since: Version,
+    /// Revision of the entries that they lead to.
+    pub revision: Version,
+    /// Entries that are new or changed.
+    pub entries: Vec<Object>,
+    /// Entries that are gone.
+    pub gone: Vec<Gone>,
+    /// The catalog, if it changed.
+    pub catalog: Option<Object>,
+}
+
+/// Entry that is gone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Gone {
+    /// Identifier of the backend server.
+    pub id: String,
+    /// Revision at which the entry was gone.
+    pub revision: u64,
+    /// Whether it may have lapsed while the store was away, and may come back.
+    pub lapse: bool,
+}
+
+impl News {
+    fn is_empty(&self) -> bool {
+        self.entries.is_empty() && self.gone.is_empty() && self.catalog.is_none()
+    }
 }
 
 /// Kind of facts that are followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Subject {
-    Catalog,
-    Entries,
+    Catalog = 0,
+    Entries = 1,
 }
 
 impl Facts {
@@ -51,6 +95,56 @@
         (state.catalog_revision(), self.entries_revision.get().0)
     }
 
+    /// Returns the time since the store last confirmed all facts.
+    pub fn age(&self, now: Instant) -> Duration {
+        let ages = self.seen.iter().map(|seen| now.since(seen.get()));
+        ages.max().unwrap_or_default()
+    }
+
+    /// Notes that the granter's facts, which are as old as `age`, are known here.
+    pub fn relayed(&self, age: Duration, now: Instant) {
+        for seen in &self.seen {
+            seen.set(seen.get().max(now - age));
+        }
+        if age < FRESH {
+            self.failing.set(false);
+        }
+        self.relayed_until.set(now - age + FRESH);
+    }
+
+    /// Returns what other hosts have not been told, if anything changed.
+    pub fn take_news(&self) -> Option<News> {
+        let mut news = self.news.borrow_mut();
+        news.revision = self.entries_revision.get();
+        if news.is_empty() {
+            return None;
+        }
+        let next = News {
+            since: news.revision,
+            ..News::default()
+        };
+        Some(std::mem::replace(&mut news, next))
+    }
+
+    /// Takes in what changed at the granter; `false` when something in between is missing.
+    pub fn hear(&self, state: &State, news: News) -> bool {
+        if let Some(object) = news.catalog {
+            self.take_catalog(state, object);
+        }
+        if news.since > self.entries_revision.get() {
+            return false;
+        }
+        for object in news.entries {
+            self.take_entry(state, object);
+        }
+        for gone in news.gone {
+            self.lose(state, &gone.id, gone.revision, gone.lapse);
+        }
+        let reached = self.entries_revision.get().max(news.revision);
+        self.entries_revision.set(reached);
+        true
+    }
+
     /// Returns what is later than the given revisions.
     pub fn later(&self, catalog: u64, entries: u64) -> (Option<Object>, Option<List>) {
         let newer = self.catalog.borrow().clone();
@@ -83,6 +177,7 @@
         match state.platform.catalog(&object.value) {
             Ok(catalog) => {
                 if state.enforce(catalog, object.version.0) {
+                    self.news.borrow_mut().catalog = Some(object.clone());
                     *self.catalog.borrow_mut() = Some(object);
                 }
             }
@@ -103,9 +198,25 @@
                 object.version
             ),
         }
-        self.entries
-            .borrow_mut()
-            .insert(object.name.clone(), object);
+        let mut entries = self.entries.borrow_mut();
+        let known = entries.get(&object.name);
+        if known.is_some_and(|known| known.version >= object.version) {
+            return;
+        }
+        self.news.borrow_mut().entries.push(object.clone());
+        entries.insert(object.name.clone(), object);
+    }
+
+    /// Notes that an entry is gone.
+    fn lose(&self, state: &State, id: &str, revision: u64, lapse: bool) {
+        if self.entries.borrow_mut().remove(id).is_some() {
+            self.news.borrow_mut().gone.push(Gone {
+                id: id.to_owned(),
+                revision,
+                lapse,
+            });
+        }
+        state.forget(id, revision, lapse);
     }
 
     fn take_entries(&self, state: &State, list: List, lapse: bool) {
@@ -116,8 +227,7 @@
             gone.cloned().collect()
         };
         for name in gone {
-            self.entries.borrow_mut().remove(&name);
-            state.forget(&name, list.revision.0, lapse);
+            self.lose(state, &name, list.revision.0, lapse);
         }
         self.entries_revision.set(list.revision);
         for object in list.items {
@@ -133,16 +243,18 @@
     }
 
     /// Notes that the store answered.
-    fn answered(&self, state: &State) {
+    fn answered(&self, state: &State, subject: Subject) {
         let now = state.now();
-        if now.since(state.store_seen.get()) > AWAY + WATCH {
+        let seen = &self.seen[subject as usize];
+        let first = seen.get() == Instant::ZERO;
+        if !first && now.since(seen.get()) > AWAY + WATCH {
             self.returned.set(Some(now));
         }
         if self.failing.replace(false) {
             self.returned.set(Some(now));
             log::info!("event=dependency-regained peer=store");
         }
-        state.store_seen.set(now);
+        seen.set(now);
         state.metrics.called("read", "answered");
     }
 
@@ -182,6 +294,13 @@
     let mut position: Option<Version> = None;
     let mut pause = FIRST_PAUSE;
     while !state.stop.is_cancelled() {
+        if state.now() < facts.relayed_until.get() {
+            if subject == Subject::Entries {
+                position = position.max(Some(facts.entries_revision.get()));
+            }
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
         let result = match position {
             None => list(state, facts, api, subject, kind).await,
             Some(after) => watch(state, facts, api, subject, kind, after).await,
@@ -213,7 +332,7 @@
     kind: &str,
 ) -> Result<Version, Error> {
     let list = api.list(kind, &state.stop).await?;
-    facts.answered(state);
+    facts.answered(state, subject);
     let revision = list.revision;
     match subject {
         Subject::Catalog => {
@@ -238,7 +357,7 @@
     after: Version,
 ) -> Result<Version, Error> {
     let changes = api.watch(kind, after, WATCH, &state.stop).await?;
-    facts.answered(state);
+    facts.answered(state, subject);
     for change in changes.changes {
         match subject {
             Subject::Catalog if !change.deleted => facts.take_catalog(state, change.object),
@@ -258,8 +377,7 @@
         facts.take_entry(state, change.object);
         return;
     }
-    let name = change.object.name;
-    facts.entries.borrow_mut().remove(&name);
     let lapse = facts.may_return(state);
-    state.forget(&name, change.object.version.0, lapse);
+    let revision = change.object.version.0;
+    facts.lose(state, &change.object.name, revision, lapse);
 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -1,6 +1,5 @@
 //! Requests of callers, from the first byte to the last.
 
-use std::convert::Infallible;
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +22,7 @@
 
 use crate::pool;
 use crate::relay::{self, Answer, Body, Order, Outcome};
+use crate::socket::Socket;
 use crate::state::State;
 
 /// Deadline of a request that names none.
@@ -33,6 +33,9 @@
 const KEY_PAUSE: Duration = Duration::from_millis(60);
 /// Time after which a caller may come back whose request found no backend server.
 const COME_BACK: Duration = Duration::from_millis(250);
+/// Part of the time that a leaving backend server still takes requests that is kept for the way
+/// of the news to this host and of a request to the server.
+const DRAIN_MARGIN: Duration = Duration::from_millis(700);
 /// Sends of one request, those that ran nothing among them.
 const MAX_SENDS: u32 = 4;
 /// Part of the time left below which nothing more is sent.
@@ -78,16 +81,23 @@
     let _open = Open::new(Rc::clone(&state));
     pool::tune(&stream);
     let limits = state.catalog().limits;
+    let socket = Socket::new(stream);
     let service = service_fn(|request| {
-        let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(handle(&state, request).await) }
+        let (state, socket) = (Rc::clone(&state), socket.clone());
+        async move {
+            tokio::select! {
+                biased;
+                () = socket.closed() => Err("the caller left"),
+                response = handle(&state, request) => Ok(response),
+            }
+        }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_header_size(limits.header_bytes)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket.clone()), service);
     let mut served = std::pin::pin!(served);
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
@@ -438,7 +448,8 @@
         let pick = holder.and_then(|holder| {
             let server = fleet.get(&holder.id)?;
             let same = server.entry.born == holder.born;
-            let takes = same && server.takes(state.bounds.get().drain, now);
+            let drain = state.bounds.get().drain.saturating_sub(DRAIN_MARGIN);
+            let takes = same && server.takes(drain, now);
             takes.then(|| server.pick())
         });
         (pick, version, age)
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -20,7 +20,7 @@
 use tarragon_store::update::{Outcome, Token, Writer};
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::keys::Map;
+use crate::keys::{Map, Patch};
 use crate::pool::{Need, Pool};
 use crate::state::State;
 
@@ -93,6 +93,14 @@
     },
 }
 
+/// What hosts are told of a service's keys.
+pub enum Told {
+    /// All of it.
+    Map(Map),
+    /// What changed.
+    Patch(Patch),
+}
+
 /// Grants of one service.
 struct Service {
     granter: Option<Granter>,
@@ -101,7 +109,7 @@
     loads: Loads,
     planned: Instant,
     changes: u64,
-    published: u64,
+    published: Option<Map>,
     candidates: (usize, Instant),
 }
 
@@ -176,7 +184,7 @@
     /// Sends the orders that are due and plans anew; returns the maps that changed.
     ///
     /// Without `confirmed` the office may be another's by now: nothing is sent then.
-    pub fn tick(&mut self, confirmed: bool) -> Vec<(String, Map)> {
+    pub fn tick(&mut self, confirmed: bool) -> Vec<(String, Told)> {
         if !confirmed {
             return Vec::new();
         }
@@ -195,29 +203,33 @@
     /// Returns all maps, for a host that has just come.
     #[must_use]
     pub fn maps(&self) -> Vec<(String, Map)> {
-        let maps = self.services.iter().filter_map(|(name, service)| {
-            let map = Map::of(service.granter.as_ref()?, (self.office, service.changes));
-            Some((name.clone(), map))
-        });
+        let maps = self
+            .services
+            .iter()
+            .filter_map(|(name, service)| Some((name.clone(), service.published.clone()?)));
         maps.collect()
     }
 
-    fn changed_maps(&mut self) -> Vec<(String, Map)> {
-        let mut maps = Vec::new();
+    fn changed_maps(&mut self) -> Vec<(String, Told)> {
+        let mut told = Vec::new();
         for (name, service) in &mut self.services {
-            if service.changes == service.published {
+            let version = (self.office, service.changes);
+            let before = service.published.as_ref();
+            if before.is_some_and(|map| map.version == version) {
                 continue;
             }
             let Some(granter) = &service.granter else {
                 continue;
             };
-            service.published = service.changes;
-            maps.push((
-                name.clone(),
-                Map::of(granter, (self.office, service.changes)),
-            ));
+            let map = Map::of(granter, version);
+            let news = match before {
+                Some(before) => Told::Patch(map.since(before)),
+                None => Told::Map(map.clone()),
+            };
+            service.published = Some(map);
+            told.push((name.clone(), news));
         }
-        maps
+        told
     }
 
     fn attend(&mut self, name: &str, now: Instant) {
@@ -535,7 +547,7 @@
             loads: Loads::new(now),
             planned: now,
             changes: 1,
-            published: 0,
+            published: None,
             candidates: (0, now),
         }
     }
--- a/crates/edge/src/keys.rs
+++ b/crates/edge/src/keys.rs
@@ -27,7 +27,131 @@
     pub held: bool,
 }
 
+/// What changed between two maps.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Patch {
+    /// Version of the map that it changes.
+    pub since: (u64, u64),
+    /// Version of the map that it makes.
+    pub version: (u64, u64),
+    /// Number of the plan behind the new map.
+    pub sequence: u64,
+    /// The changed ranges, in the order of their keys.
+    pub changes: Vec<Change>,
+}
+
+/// Range of keys whose holder, or its hold, changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// First key.
+    pub from: u16,
+    /// Last key.
+    pub to: u16,
+    /// The holder.
+    pub holder: Holder,
+    /// Whether it has taken its grant.
+    pub held: bool,
+}
+
 impl Map {
+    /// Returns what changed since `before`.
+    ///
+    /// ```
+    /// use tarragon_edge::keys::{Map, Range};
+    /// use tarragon_owner::plan::Holder;
+    ///
+    /// let range = |to, id: &str, held| Range {
+    ///     to,
+    ///     holder: Holder { id: id.to_owned(), born: 1 },
+    ///     held,
+    /// };
+    /// let map = |version, ranges| Map { version: (1, version), sequence: version, ranges };
+    /// let before = map(1, vec![range(9, "a", true), range(65_535, "b", true)]);
+    /// let after = map(2, vec![range(4, "a", true), range(7, "b", false), range(65_535, "b", true)]);
+    /// let patch = after.since(&before);
+    /// assert_eq!(patch.changes.len(), 2);
+    /// let mut patched = before.clone();
+    /// patched.apply(&patch);
+    /// assert_eq!(patched.find(8).unwrap().holder.id, "b");
+    /// assert!(!patched.find(5).unwrap().held);
+    /// assert!(patched.find(0).unwrap().held);
+    /// ```
+    #[must_use]
+    pub fn since(&self, before: &Self) -> Patch {
+        let mut changes: Vec<Change> = Vec::new();
+        let mut from: u16 = 0;
+        let (mut old, mut new) = (before.ranges.iter(), self.ranges.iter());
+        let (mut was, mut is) = (old.next(), new.next());
+        while let Some(range) = is {
+            let to = was.map_or(range.to, |was| was.to.min(range.to));
+            let same = was.is_some_and(|was| was.holder == range.holder && was.held == range.held);
+            if !same {
+                changes.push(Change {
+                    from,
+                    to,
+                    holder: range.holder.clone(),
+                    held: range.held,
+                });
+            }
+            if was.is_some_and(|was| was.to == to) {
+                was = old.next();
+            }
+            if range.to == to {
+                is = new.next();
+            }
+            from = to.saturating_add(1);
+        }
+        Patch {
+            since: before.version,
+            version: self.version,
+            sequence: self.sequence,
+            changes,
+        }
+    }
+
+    /// Makes this map the later one that a patch leads to.
+    pub fn apply(&mut self, patch: &Patch) {
+        for change in &patch.changes {
+            self.overlay(change);
+        }
+        self.version = patch.version;
+        self.sequence = patch.sequence;
+    }
+
+    fn overlay(&mut self, change: &Change) {
+        let first = self.ranges.partition_point(|range| range.to < change.from);
+        let last = self.ranges.partition_point(|range| range.to < change.to);
+        let begin = match first {
+            0 => 0,
+            _ => self.ranges[first - 1].to.saturating_add(1),
+        };
+        let mut pieces = Vec::with_capacity(3);
+        if let Some(head) = self.ranges.get(first)
+            && begin < change.from
+        {
+            pieces.push(Range {
+                to: change.from - 1,
+                ..head.clone()
+            });
+        }
+        pieces.push(Range {
+            to: change.to,
+            holder: change.holder.clone(),
+            held: change.held,
+        });
+        let end = last.min(self.ranges.len().saturating_sub(1));
+        if let Some(tail) = self.ranges.get(end)
+            && tail.to > change.to
+        {
+            pieces.push(tail.clone());
+        }
+        if self.ranges.is_empty() {
+            self.ranges = pieces;
+        } else {
+            self.ranges.splice(first..=end, pieces);
+        }
+    }
+
     /// Tells what a granter knows.
     #[must_use]
     pub fn of(granter: &Granter, version: (u64, u64)) -> Self {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod pool;
 pub mod relay;
 pub mod settings;
+pub mod socket;
 pub mod state;
--- a/crates/edge/src/office.rs
+++ b/crates/edge/src/office.rs
@@ -17,8 +17,8 @@
 use tarragon_store::update::{Outcome, Token, Writer};
 use tokio::sync::mpsc::{self, Receiver, UnboundedSender};
 
-use crate::facts::Facts;
-use crate::granting::{self, Done, Granting};
+use crate::facts::{Facts, News};
+use crate::granting::{self, Done, Granting, Told};
 use crate::keys::Map;
 use crate::peer::{Event, Frame, Links};
 use crate::state::State;
@@ -52,7 +52,7 @@
 const REPORT: Duration = Duration::from_millis(500);
 /// Time between two questions to other hosts while the store does not answer.
 const ASK: Duration = Duration::from_millis(300);
-/// Age of the granter's last answer from the store after which it should not hold the office.
+/// Age of the granter's facts, in milliseconds, after which it should not hold the office.
 const GRANTER_CUT: u64 = 3_500;
 /// Time for which a host counts after its link went down.
 const HOST_MEMORY: Duration = Duration::from_secs(10);
@@ -129,7 +129,10 @@
     /// Another host may take it [`VACANT`] after a renewal; after a freeze only news count.
     fn is_confirmed(&mut self, now: Instant) -> bool {
         if now.since(self.ticked) > FREEZE {
-            log::warn!("event=granter-froze ms={}", now.since(self.ticked).as_millis());
+            log::warn!(
+                "event=granter-froze ms={}",
+                now.since(self.ticked).as_millis()
+            );
             self.confirmed = Instant::ZERO;
             self.renewal_sent = Instant::ZERO;
             self.renewed = Instant::ZERO;
@@ -237,6 +240,10 @@
             self.asked = now;
             self.ask();
         }
+        if !matches!(self.role, Role::Granting(_)) {
+            // The granter alone tells hosts on: each of them hears it.
+            self.facts.take_news();
+        }
         match &mut self.role {
             Role::Granting(_) => self.grant(now),
             Role::Following { link, beat, age } => {
@@ -322,7 +329,6 @@
         let traffic = traffic.map(|(service, keys)| (service, keys.into_iter().collect()));
         Frame::Report {
             traffic: traffic.collect(),
-            slowness: Vec::new(),
             crashes: self.state.take_convicted(),
         }
     }
@@ -343,13 +349,24 @@
             return;
         };
         let confirmed = grants.is_confirmed(now);
-        for (service, map) in grants.granting.tick(confirmed) {
-            self.state.learn_map(&service, map.clone());
-            self.links.broadcast(&Frame::Keys { service, map });
+        for (service, told) in grants.granting.tick(confirmed) {
+            match told {
+                Told::Map(map) => {
+                    self.state.learn_map(&service, map.clone());
+                    self.links.broadcast(&Frame::Keys { service, map });
+                }
+                Told::Patch(patch) => {
+                    self.state.learn_patch(&service, &patch);
+                    self.links.broadcast(&Frame::KeysPatch { service, patch });
+                }
+            }
+        }
+        if let Some(news) = self.facts.take_news() {
+            self.links.broadcast(&Frame::News(news));
         }
         if now.since(grants.beaten) >= BEAT {
             grants.beaten = now;
-            let beat = beat(&self.state, grants.version, self.hosts.len(), now);
+            let beat = beat(&self.state, &self.facts, grants.version, self.hosts.len());
             self.links.broadcast(&beat);
         }
         let former = grants.former.clone();
@@ -415,15 +432,15 @@
             self.holder_gone = true;
         }
         self.up.insert(link, Link { host, dialled });
-        let now = self.state.now();
         let hosts = self.hosts.len();
         if let Role::Granting(grants) = &mut self.role {
-            let replaced = |process: &Process| {
-                process.host == name && process.incarnation != incarnation
-            };
+            let replaced =
+                |process: &Process| process.host == name && process.incarnation != incarnation;
             grants.stopped(replaced);
-            self.links
-                .send(link, &beat(&self.state, grants.version, hosts + 1, now));
+            self.links.send(
+                link,
+                &beat(&self.state, &self.facts, grants.version, hosts + 1),
+            );
             for (service, map) in grants.granting.maps() {
                 self.links.send(link, &Frame::Keys { service, map });
             }
@@ -456,8 +473,26 @@
             Frame::Beat {
                 office,
                 hosts,
-                store_age_ms,
-            } => self.beat(link, office, hosts, store_age_ms),
+                facts_age_ms,
+                catalog,
+                entries,
+            } => {
+                self.beat(link, office, hosts, facts_age_ms);
+                self.compare(link, facts_age_ms, (catalog, entries));
+            }
+            Frame::KeysPatch { service, patch } => {
+                if !self.state.learn_patch(&service, &patch) {
+                    self.links.send(link, &Frame::AskKeys);
+                }
+            }
+            Frame::AskKeys => {
+                if let Role::Granting(grants) = &self.role {
+                    for (service, map) in grants.granting.maps() {
+                        self.links.send(link, &Frame::Keys { service, map });
+                    }
+                }
+            }
+            Frame::News(news) => self.hear(link, news),
             Frame::Office { version, address } => self.announced(link, version, address),
             Frame::Yielded { version } => self.yielded(link, version),
             Frame::Keys { service, map } => self.state.learn_map(&service, map),
@@ -521,6 +556,28 @@
         }
     }
 
+    /// Spares this host the store's calls while the granter's facts are fresh and known here.
+    fn compare(&mut self, link: u64, age_ms: u64, granter: (u64, u64)) {
+        if !matches!(self.role, Role::Following { link: followed, .. } if followed == link) {
+            return;
+        }
+        let own = self.facts.reached(&self.state);
+        if own.0 >= granter.0 && own.1 >= granter.1 {
+            let now = self.state.now();
+            self.facts.relayed(Duration::from_millis(age_ms), now);
+        } else {
+            let (catalog, entries) = own;
+            self.links.send(link, &Frame::Ask { catalog, entries });
+        }
+    }
+
+    fn hear(&mut self, link: u64, news: News) {
+        if !self.facts.hear(&self.state, news) {
+            let (catalog, entries) = self.facts.reached(&self.state);
+            self.links.send(link, &Frame::Ask { catalog, entries });
+        }
+    }
+
     fn announced(&mut self, link: u64, version: u64, address: SocketAddr) {
         if let Role::Granting(grants) = &self.role
             && grants.version.0 < version
@@ -641,7 +698,9 @@
         }
         self.reading = true;
         let former = self.former(expected);
-        self.write(expected, former, move |result| Call::Taken(expected, result));
+        self.write(expected, former, move |result| {
+            Call::Taken(expected, result)
+        });
     }
 
     fn office_taken(&mut self, expected: Version, result: Result<Outcome<Record>, Error>) {
@@ -658,7 +717,11 @@
         let former = self.former(expected);
         log::info!(
             "event=office-taken version={version} former={}",
-            former.iter().map(|process| process.host.as_str()).collect::<Vec<_>>().join(",")
+            former
+                .iter()
+                .map(|process| process.host.as_str())
+                .collect::<Vec<_>>()
+                .join(",")
         );
         let granting = Granting::new(
             self.state.clone(),
@@ -695,7 +758,6 @@
             Ok(Outcome::Won { version }) => {
                 grants.version = version;
                 grants.confirmed = grants.confirmed.max(grants.renewal_sent);
-                self.state.store_seen.set(self.state.now());
             }
             Ok(Outcome::Lost { value, version }) => {
                 let own = value.as_ref().is_some_and(|record| {
@@ -752,12 +814,15 @@
     }
 }
 
-fn beat(state: &State, version: Version, hosts: usize, now: Instant) -> Frame {
-    let age = now.since(state.store_seen.get()).as_millis();
+fn beat(state: &State, facts: &Facts, version: Version, hosts: usize) -> Frame {
+    let age = facts.age(state.now()).as_millis();
+    let (catalog, entries) = facts.reached(state);
     Frame::Beat {
         office: version.0,
         hosts: count(hosts),
-        store_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        facts_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        catalog,
+        entries,
     }
 }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -18,7 +18,8 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::keys::Map;
+use crate::facts::News;
+use crate::keys::{Map, Patch};
 use crate::pool;
 
 /// Frames that wait for a link at most; more are dropped, as later ones tell the same anew.
@@ -42,8 +43,12 @@
         office: u64,
         /// Hosts that take requests.
         hosts: u32,
-        /// Time since the store answered it, in milliseconds.
-        store_age_ms: u64,
+        /// Time since the store confirmed its facts, in milliseconds.
+        facts_age_ms: u64,
+        /// Revision of its catalog.
+        catalog: u64,
+        /// Revision up to which it knows the backend servers.
+        entries: u64,
     },
     /// Another process has taken the granter's office; who grants is to stop.
     Office {
@@ -64,12 +69,19 @@
         /// The holders.
         map: Map,
     },
+    /// What changed of the holders of a service's keys.
+    KeysPatch {
+        /// Name of the service.
+        service: String,
+        /// The changes.
+        patch: Patch,
+    },
+    /// The sender lacks maps of keys.
+    AskKeys,
     /// What a host's requests tell the granter.
     Report {
         /// Requests for each key since the last report, by service.
         traffic: Vec<(String, Vec<(u16, u32)>)>,
-        /// How much slower than the mean each backend server is.
-        slowness: Vec<(String, f32)>,
         /// Requests that crashed a backend server.
         crashes: Vec<(u64, String)>,
     },
@@ -85,6 +97,8 @@
         /// Revision up to which it knows the backend servers.
         entries: u64,
     },
+    /// What the store has just told the granter.
+    News(News),
     /// What the store told the sender.
     Facts {
         /// The catalog, if it is later.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
-use crate::keys::{Known, Map};
+use crate::keys::{Known, Map, Patch};
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::pool::Pool;
@@ -43,8 +43,6 @@
     pub poison: RefCell<Poison>,
     /// Hosts that share the budgets.
     pub hosts: Cell<u32>,
-    /// When the store last answered.
-    pub store_seen: Cell<Instant>,
     /// Wakes requests that wait for the holder of a key.
     pub keys_changed: Notify,
     /// Wakes the granter when backend servers come or go.
@@ -87,7 +85,6 @@
             fleet: RefCell::new(Fleet::new(place)),
             poison: RefCell::default(),
             hosts: Cell::new(HOSTS_ASSUMED),
-            store_seen: Cell::new(clock.now()),
             clock,
             keys_changed: Notify::new(),
             fleet_changed: Notify::new(),
@@ -210,7 +207,6 @@
 
     /// Takes in the holders of a service's keys unless later ones are known.
     pub fn learn_map(&self, service: &str, map: Map) {
-        let at = self.now();
         let mut maps = self.maps.borrow_mut();
         if maps
             .get(service)
@@ -226,9 +222,42 @@
             map.ranges.len(),
             map.ranges.iter().filter(|range| range.held).count()
         );
-        self.metrics.believed("keys");
+        let at = self.now();
         maps.insert(service.to_owned(), Known { map, at });
+        self.metrics.believed("keys");
+        self.keys_changed.notify_waiters();
+    }
+
+    /// Takes in what changed of the holders of a service's keys; `false` when the map that it
+    /// changes is not known.
+    pub fn learn_patch(&self, service: &str, patch: &Patch) -> bool {
+        let mut maps = self.maps.borrow_mut();
+        let Some(known) = maps.get_mut(service) else {
+            return false;
+        };
+        if known.map.version >= patch.version {
+            return true;
+        }
+        if known.map.version != patch.since {
+            return false;
+        }
+        known.map.apply(patch);
+        known.at = self.now();
+        for change in &patch.changes {
+            log::info!(
+                "event=keys service={service} office={} change={} plan={} keys={}-{} server={} held={}",
+                patch.version.0,
+                patch.version.1,
+                patch.sequence,
+                change.from,
+                change.to,
+                change.holder.id,
+                change.held
+            );
+        }
+        self.metrics.believed("keys");
         self.keys_changed.notify_waiters();
+        true
     }
 
     /// Counts a request for a key, for the granter.
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -282,7 +282,10 @@
             .map(|key| {
                 let others = self.servers.iter().enumerate();
                 let others = others.filter(|(other, _)| *other != index);
-                others.map(|(_, server)| server.taken[key]).max().unwrap_or(0)
+                others
+                    .map(|(_, server)| server.taken[key])
+                    .max()
+                    .unwrap_or(0)
             })
             .collect();
         let server = &mut self.servers[index];
@@ -443,7 +446,12 @@
     /// Tells whether another host that follows this one can confirm that it grants.
     fn followed(&self, index: usize) -> bool {
         let linked = |host: &Host| self.now >= host.cut_until && self.now >= host.frozen_until;
-        let others = || self.hosts.iter().enumerate().filter(|(other, _)| *other != index);
+        let others = || {
+            self.hosts
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != index)
+        };
         let later = others().any(|(_, host)| host.grants.is_some() && linked(host));
         linked(&self.hosts[index])
             && !later
--- a/crates/owner/tests/schedules.rs
+++ b/crates/owner/tests/schedules.rs
@@ -35,7 +35,10 @@
         granted += world.granted;
         moved += world.moved;
     }
-    assert!(moved > cases(), "the schedules move keys: {moved}, {granted} grants");
+    assert!(
+        moved > cases(),
+        "the schedules move keys: {moved}, {granted} grants"
+    );
 }
 
 macro_rules! noticed {
