Let a majority of its followers confirm a granter, and free keys when they left a lost one

Ruled out: full servers (1,453 refusals), budgets (74). Change: without the store a granter needs answers to its beats from a majority of the hosts that the office's record names; a successor that half of them follow counts the former as stopped.

--- a/crates/edge/src/office.rs
+++ b/crates/edge/src/office.rs
@@ -40,6 +40,9 @@
 const VACANT: Duration = Duration::from_millis(1_500);
 /// Age of the latest proof of its office up to which a granter sends orders; below [`VACANT`].
 const CONFIRMED: Duration = Duration::from_millis(1_300);
+/// Time for which a majority of its voters must follow another before a granter has surely
+/// stopped: [`CONFIRMED`], and some for the way.
+const BLOCKED: Duration = Duration::from_millis(1_600);
 /// Time between two ticks after which a granter counts as frozen meanwhile.
 const FREEZE: Duration = Duration::from_millis(700);
 /// Time between two reads of the office by a doubting host.
@@ -70,6 +73,9 @@
     pub incarnation: u64,
     /// Whether the holder has laid the office down.
     pub vacant: bool,
+    /// Hosts that can confirm the office to its holder while it does not reach the store.
+    #[serde(default)]
+    pub voters: Vec<String>,
     /// Earlier granters that are not known to have stopped.
     #[serde(default)]
     pub former: Vec<Process>,
@@ -84,6 +90,8 @@
     pub address: SocketAddr,
     /// Number of the process.
     pub incarnation: u64,
+    /// Hosts that could confirm its office.
+    pub voters: Vec<String>,
 }
 
 impl Token for Record {
@@ -103,11 +111,20 @@
     /// No granter is heard.
     Seeking,
     /// The granter is heard on this link.
-    Following { link: u64, beat: Instant, age: u64 },
+    Following(Followed),
     /// This host grants.
     Granting(Box<Grants>),
 }
 
+struct Followed {
+    link: u64,
+    office: u64,
+    beat: Instant,
+    /// Clock of the granter when it sent its latest beat, in microseconds.
+    sent_us: u64,
+    age: u64,
+}
+
 struct Grants {
     granting: Granting,
     version: Version,
@@ -115,31 +132,79 @@
     calling: bool,
     beaten: Instant,
     /// Earlier granters that are not known to have stopped.
-    former: Vec<Process>,
-    /// When the store or a follower last showed that the office is this host's.
+    former: Vec<Former>,
+    /// When the store last showed that the office is this host's.
     confirmed: Instant,
+    /// Hosts whose majority can confirm the office, as the store has them.
+    voters: Vec<String>,
+    /// When a beat was sent that a follower has answered.
+    followers: HashMap<String, Instant>,
+    /// Voters of the renewal that is on its way.
+    proposed: Vec<String>,
     ticked: Instant,
     renewal_sent: Instant,
     paused: bool,
 }
 
+/// Earlier granter that is not known to have stopped.
+#[derive(Clone)]
+struct Former {
+    process: Process,
+    /// Since when no majority of its voters can confirm its office.
+    blocked: Option<Instant>,
+}
+
 impl Grants {
+    /// Returns the hosts that answered a beat sent not long ago, this one among them.
+    fn followed_by(&self, own: &str, now: Instant) -> Vec<String> {
+        let recent = |at: &Instant| now.since(*at) < CONFIRMED;
+        let followers = self.followers.iter().filter(|(_, at)| recent(at));
+        let mut hosts: Vec<String> = followers.map(|(host, _)| host.clone()).collect();
+        hosts.push(own.to_owned());
+        hosts
+    }
+
+    /// Counts earlier granters as stopped whose voters follow this one for long enough.
+    ///
+    /// Such a granter sends nothing without the store or a majority of its voters.
+    fn block_former(&mut self, own: &str, now: Instant) {
+        let followed_by = self.followed_by(own, now);
+        for former in &mut self.former {
+            let voters = &former.process.voters;
+            let here = voters.iter().filter(|host| followed_by.contains(host));
+            if here.count() * 2 >= voters.len().max(1) {
+                former.blocked.get_or_insert(now);
+            } else {
+                former.blocked = None;
+            }
+        }
+        let over = |former: &Former| former.blocked.is_some_and(|at| now.since(at) >= BLOCKED);
+        if self.former.iter().any(over) {
+            self.former.retain(|former| !over(former));
+            self.settle();
+        }
+    }
+
     /// Tells whether the office is surely still this host's.
     ///
     /// Another host may take it [`VACANT`] after a renewal; after a freeze only news count.
-    fn is_confirmed(&mut self, now: Instant) -> bool {
+    fn is_confirmed(&mut self, own: &str, now: Instant) -> bool {
         if now.since(self.ticked) > FREEZE {
             log::warn!(
                 "event=granter-froze ms={}",
                 now.since(self.ticked).as_millis()
             );
             self.confirmed = Instant::ZERO;
+            self.followers.clear();
             self.renewal_sent = Instant::ZERO;
             self.renewed = Instant::ZERO;
             self.calling = false;
         }
         self.ticked = now;
-        let confirmed = now.since(self.confirmed) < CONFIRMED;
+        let followed_by = self.followed_by(own, now);
+        let votes = self.voters.iter().filter(|host| followed_by.contains(host));
+        let majority = votes.count() * 2 > self.voters.len();
+        let confirmed = majority || now.since(self.confirmed) < CONFIRMED;
         if self.paused == confirmed {
             self.paused = !confirmed;
             log::info!("event=granter-confirmed confirmed={confirmed}");
@@ -149,7 +214,11 @@
 
     /// Notes that an earlier granter has stopped.
     fn stopped(&mut self, is: impl Fn(&Process) -> bool) {
-        self.former.retain(|process| !is(process));
+        self.former.retain(|former| !is(&former.process));
+        self.settle();
+    }
+
+    fn settle(&mut self) {
         if self.former.is_empty() {
             self.granting.set_alone();
         }
@@ -246,8 +315,8 @@
         }
         match &mut self.role {
             Role::Granting(_) => self.grant(now),
-            Role::Following { link, beat, age } => {
-                let (link, beat, age) = (*link, *beat, *age);
+            Role::Following(followed) => {
+                let (link, beat, age) = (followed.link, followed.beat, followed.age);
                 let cut = age > GRANTER_CUT && !self.facts.failing();
                 if now.since(beat) > DOUBT || cut {
                     self.seek(now);
@@ -319,7 +388,7 @@
         let (catalog, entries) = self.facts.reached(&self.state);
         let ask = Frame::Ask { catalog, entries };
         match &self.role {
-            Role::Following { link, .. } => self.links.send(*link, &ask),
+            Role::Following(followed) => self.links.send(followed.link, &ask),
             _ => self.links.broadcast(&ask),
         }
     }
@@ -327,7 +396,12 @@
     fn report(&self) -> Frame {
         let traffic = self.state.take_traffic().into_iter();
         let traffic = traffic.map(|(service, keys)| (service, keys.into_iter().collect()));
+        let beat_us = match &self.role {
+            Role::Following(followed) => followed.sent_us,
+            _ => 0,
+        };
         Frame::Report {
+            beat_us,
             traffic: traffic.collect(),
             crashes: self.state.take_convicted(),
         }
@@ -348,7 +422,9 @@
         let Role::Granting(grants) = &mut self.role else {
             return;
         };
-        let confirmed = grants.is_confirmed(now);
+        let own = &self.state.settings.host;
+        let confirmed = grants.is_confirmed(own, now);
+        grants.block_former(own, now);
         for (service, told) in grants.granting.tick(confirmed) {
             match told {
                 Told::Map(map) => {
@@ -369,13 +445,14 @@
             let beat = beat(&self.state, &self.facts, grants.version, self.hosts.len());
             self.links.broadcast(&beat);
         }
-        let former = grants.former.clone();
+        let former: Vec<Process> = grants.former.iter().map(|f| f.process.clone()).collect();
         if now.since(grants.renewed) >= RENEWAL && !grants.calling {
+            grants.proposed = grants.followed_by(own, now);
             grants.renewed = now;
             grants.renewal_sent = now;
             grants.calling = true;
-            let version = grants.version;
-            self.write(version, former.clone(), Call::Renewed);
+            let (version, voters) = (grants.version, grants.proposed.clone());
+            self.write(version, voters, former.clone(), Call::Renewed);
         }
         for process in former {
             self.dial(process.address, now);
@@ -445,7 +522,7 @@
                 self.links.send(link, &Frame::Keys { service, map });
             }
             let mut former = grants.former.iter();
-            if former.any(|process| dialled == Some(process.address)) {
+            if former.any(|former| dialled == Some(former.process.address)) {
                 let office = Frame::Office {
                     version: grants.version.0,
                     address: self.state.settings.control,
@@ -461,7 +538,7 @@
         if !host.is_empty() {
             log::info!("event=link-down link={link} host={host} reason=\"{reason}\"");
         }
-        if matches!(self.role, Role::Following { link: followed, .. } if followed == link) {
+        if matches!(&self.role, Role::Following(followed) if followed.link == link) {
             log::warn!("event=dependency-lost peer=granter host={host}");
             self.role = Role::Seeking;
         }
@@ -472,12 +549,13 @@
             Frame::Hello { .. } => {}
             Frame::Beat {
                 office,
+                sent_us,
                 hosts,
                 facts_age_ms,
                 catalog,
                 entries,
             } => {
-                self.beat(link, office, hosts, facts_age_ms);
+                self.beat(link, (office, sent_us), hosts, facts_age_ms);
                 self.compare(link, facts_age_ms, (catalog, entries));
             }
             Frame::KeysPatch { service, patch } => {
@@ -497,10 +575,17 @@
             Frame::Yielded { version } => self.yielded(link, version),
             Frame::Keys { service, map } => self.state.learn_map(&service, map),
             Frame::Report {
-                traffic, crashes, ..
+                beat_us,
+                traffic,
+                crashes,
             } => {
-                if let Role::Granting(grants) = &mut self.role {
-                    grants.confirmed = self.state.now();
+                let host = self.up.get(&link).map(|link| link.host.clone());
+                if let Role::Granting(grants) = &mut self.role
+                    && let Some(host) = host
+                {
+                    let answered = Instant::from_micros(beat_us);
+                    let known = grants.followers.entry(host).or_insert(answered);
+                    *known = answered.max(*known);
                 }
                 self.take_report(&traffic, crashes);
             }
@@ -522,43 +607,44 @@
         }
     }
 
-    fn beat(&mut self, link: u64, office: u64, hosts: u32, age: u64) {
+    fn beat(&mut self, link: u64, (office, sent_us): (u64, u64), hosts: u32, age: u64) {
         let now = self.state.now();
         match &mut self.role {
-            Role::Granting(grants) if grants.version.0 >= office => {}
-            Role::Following {
-                link: followed,
-                beat,
-                age: known,
-            } if *followed == link => {
-                *beat = now;
-                *known = age;
+            Role::Following(followed) if followed.link == link => {
+                followed.beat = now;
+                followed.office = office;
+                followed.sent_us = sent_us;
+                followed.age = age;
                 self.state.hosts.set(hosts.max(1));
+                return;
             }
+            Role::Following(followed) if followed.office >= office => return,
+            Role::Granting(grants) if grants.version.0 >= office => return,
             Role::Granting(_) => self.depose("a later granter beats"),
-            Role::Following { .. } | Role::Seeking => {
-                let newest = self.record.as_ref().map_or(0, |(version, record)| {
-                    let same = self.up.get(&link).is_some_and(|l| l.host == record.host);
-                    if same { 0 } else { version.0 }
-                });
-                if office < newest {
-                    return;
-                }
-                log::info!("event=dependency-regained peer=granter link={link} office={office}");
-                self.state.hosts.set(hosts.max(1));
-                self.holder_gone = false;
-                self.role = Role::Following {
-                    link,
-                    beat: now,
-                    age,
-                };
-            }
+            Role::Following(_) | Role::Seeking => {}
+        }
+        let newest = self.record.as_ref().map_or(0, |(version, record)| {
+            let same = self.up.get(&link).is_some_and(|l| l.host == record.host);
+            if same { 0 } else { version.0 }
+        });
+        if office < newest {
+            return;
         }
+        log::info!("event=dependency-regained peer=granter link={link} office={office}");
+        self.state.hosts.set(hosts.max(1));
+        self.holder_gone = false;
+        self.role = Role::Following(Followed {
+            link,
+            office,
+            beat: now,
+            sent_us,
+            age,
+        });
     }
 
     /// Spares this host the store's calls while the granter's facts are fresh and known here.
     fn compare(&mut self, link: u64, age_ms: u64, granter: (u64, u64)) {
-        if !matches!(self.role, Role::Following { link: followed, .. } if followed == link) {
+        if !matches!(&self.role, Role::Following(followed) if followed.link == link) {
             return;
         }
         let own = self.facts.reached(&self.state);
@@ -622,12 +708,13 @@
     fn write(
         &self,
         expected: Version,
+        voters: Vec<String>,
         former: Vec<Process>,
         wrap: impl FnOnce(Result<Outcome<Record>, Error>) -> Call + 'static,
     ) {
         let (state, api, calls) = (self.state.clone(), self.api.clone(), self.calls.clone());
         tokio::task::spawn_local(async move {
-            let record = own_record(&state, false, former);
+            let record = own_record(&state, false, voters, former);
             let writer = Writer::new(&*api);
             let result = writer.update(OFFICE, expected, &record, &state.stop).await;
             tell(&calls, wrap(result));
@@ -686,6 +773,7 @@
                 host: record.host.clone(),
                 address: record.address,
                 incarnation: record.incarnation,
+                voters: record.voters.clone(),
             });
         }
         former
@@ -698,7 +786,8 @@
         }
         self.reading = true;
         let former = self.former(expected);
-        self.write(expected, former, move |result| {
+        let voters = vec![self.state.settings.host.clone()];
+        self.write(expected, voters, former, move |result| {
             Call::Taken(expected, result)
         });
     }
@@ -736,8 +825,17 @@
             renewed: now,
             calling: false,
             beaten: Instant::ZERO,
-            former,
+            former: former
+                .into_iter()
+                .map(|process| Former {
+                    process,
+                    blocked: None,
+                })
+                .collect(),
             confirmed: now,
+            voters: vec![self.state.settings.host.clone()],
+            followers: HashMap::new(),
+            proposed: Vec::new(),
             ticked: now,
             renewal_sent: now,
             paused: false,
@@ -758,6 +856,7 @@
             Ok(Outcome::Won { version }) => {
                 grants.version = version;
                 grants.confirmed = grants.confirmed.max(grants.renewal_sent);
+                grants.voters = std::mem::take(&mut grants.proposed);
             }
             Ok(Outcome::Lost { value, version }) => {
                 let own = value.as_ref().is_some_and(|record| {
@@ -787,9 +886,9 @@
             return;
         };
         let expected = grants.version;
-        let former = grants.former.clone();
+        let former = grants.former.iter().map(|f| f.process.clone()).collect();
         self.role = Role::Seeking;
-        let record = own_record(&self.state, true, former);
+        let record = own_record(&self.state, true, Vec::new(), former);
         let writer = Writer::new(&*self.api);
         let laid = writer.update(OFFICE, expected, &record, &self.state.stop);
         match laid.await {
@@ -803,13 +902,14 @@
     }
 }
 
-fn own_record(state: &State, vacant: bool, former: Vec<Process>) -> Record {
+fn own_record(state: &State, vacant: bool, voters: Vec<String>, former: Vec<Process>) -> Record {
     Record {
         token: format!("{:016x}{:016x}", state.incarnation, rand::random::<u64>()),
         host: state.settings.host.clone(),
         address: state.settings.control,
         incarnation: state.incarnation,
         vacant,
+        voters,
         former,
     }
 }
@@ -819,6 +919,7 @@
     let (catalog, entries) = facts.reached(state);
     Frame::Beat {
         office: version.0,
+        sent_us: state.now().as_micros(),
         hosts: count(hosts),
         facts_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
         catalog,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -41,6 +41,8 @@
     Beat {
         /// Version of its office in the store.
         office: u64,
+        /// Clock of the granter as it sends this, in microseconds.
+        sent_us: u64,
         /// Hosts that take requests.
         hosts: u32,
         /// Time since the store confirmed its facts, in milliseconds.
@@ -80,6 +82,8 @@
     AskKeys,
     /// What a host's requests tell the granter.
     Report {
+        /// Clock of the granter as its latest beat told, in microseconds; this answers it.
+        beat_us: u64,
         /// Requests for each key since the last report, by service.
         traffic: Vec<(String, Vec<(u16, u32)>)>,
         /// Requests that crashed a backend server.
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -29,6 +29,8 @@
 
 /// Age of the latest proof of its office up to which a granter sends orders.
 const CONFIRMED: Duration = Duration::from_millis(1_300);
+/// Time for which a majority must follow another before a granter has surely stopped.
+const BLOCKED: Duration = Duration::from_millis(1_600);
 /// Time between two ticks after which a granter counts as frozen meanwhile.
 const FREEZE: Duration = Duration::from_millis(700);
 
@@ -61,6 +63,8 @@
     planned: Instant,
     confirmed: Instant,
     ticked: Instant,
+    office: u64,
+    blocked: Option<Instant>,
 }
 
 /// Number of a host and of its process.
@@ -375,6 +379,8 @@
             planned: self.now,
             confirmed: self.now,
             ticked: self.now,
+            office: version + 1,
+            blocked: None,
         });
     }
 
@@ -443,19 +449,39 @@
         }
     }
 
-    /// Tells whether another host that follows this one can confirm that it grants.
+    /// Tells whether a majority of the hosts, itself among them, confirms that a host grants.
+    ///
+    /// A host follows the latest granter that it hears.
     fn followed(&self, index: usize) -> bool {
         let linked = |host: &Host| self.now >= host.cut_until && self.now >= host.frozen_until;
-        let others = || {
-            self.hosts
-                .iter()
-                .enumerate()
-                .filter(|(other, _)| *other != index)
-        };
-        let later = others().any(|(_, host)| host.grants.is_some() && linked(host));
-        linked(&self.hosts[index])
-            && !later
-            && others().any(|(_, host)| host.grants.is_none() && linked(host))
+        if !linked(&self.hosts[index]) {
+            return false;
+        }
+        let later = self.hosts.iter().enumerate().any(|(other, host)| {
+            let later = host.grants.as_ref().map(|grants| grants.office)
+                > self.hosts[index]
+                    .grants
+                    .as_ref()
+                    .map(|grants| grants.office);
+            other != index && later && linked(host)
+        });
+        let votes = self.hosts.iter().enumerate().filter(|(other, host)| {
+            *other == index || (!later && host.grants.is_none() && linked(host))
+        });
+        votes.count() * 2 > self.hosts.len()
+    }
+
+    /// Counts earlier granters as stopped when a majority follows this one for long enough.
+    fn block_former(&mut self, index: usize, followed: bool) {
+        let now = self.now;
+        if let Some(grants) = &mut self.hosts[index].grants {
+            if !followed {
+                grants.blocked = None;
+            } else if now.since(*grants.blocked.get_or_insert(now)) >= BLOCKED {
+                grants.former.clear();
+                grants.granter.alone(now);
+            }
+        }
     }
 
     fn grant(&mut self, index: usize, reaches_store: bool) {
@@ -470,6 +496,7 @@
             _ => Life::Possible,
         };
         let followed = self.followed(index);
+        self.block_former(index, followed);
         if let Some(grants) = &mut self.hosts[index].grants
             && !grants.is_confirmed(followed, now)
         {
