--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -9,7 +9,7 @@
 mod belief;
 
 use self::belief::Belief;
-pub use self::belief::{Load, Seen, Verdict};
+pub use self::belief::{Load, Sample, Seen, Verdict};
 
 /// What a backend server says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -268,19 +268,13 @@
         server.belief.ended(seen, norm, server.entry.slots, now);
     }
 
-    /// Returns how much slower than its service's mean a backend server is, 1 for the mean.
-    #[must_use]
-    pub fn slowness(&self, id: &str) -> f64 {
-        self.servers
-            .get(id)
-            .map_or(1.0, |server| server.belief.slowness())
-    }
-
-    /// Returns the mean time of a service's requests at a backend server of mean speed.
-    #[must_use]
-    pub fn work(&self, service: &str) -> Duration {
-        let norm = self.services.get(service).copied().unwrap_or_default();
-        Duration::from_secs_f64(norm.work_ms / 1_000.0)
+    /// Returns the times of requests that were served since the last call, by backend server.
+    pub fn take_samples(&mut self) -> Vec<(String, Sample)> {
+        let samples = self.servers.iter_mut().filter_map(|(id, server)| {
+            let sample = server.belief.take_sample();
+            (sample.count > 0).then(|| (id.clone(), sample))
+        });
+        samples.collect()
     }
 
     /// Chooses the backend server that is expected to end the request first.
--- a/crates/dispatch/src/fleet/belief.rs
+++ b/crates/dispatch/src/fleet/belief.rs
@@ -128,6 +128,16 @@
     blocked_until: Instant,
     cold_until: Instant,
     used: bool,
+    sample: Sample,
+}
+
+/// Times of requests that a backend server served, without waiting for a slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sample {
+    /// Requests.
+    pub count: u32,
+    /// Sum of their times, in milliseconds.
+    pub sum_ms: f64,
 }
 
 impl Belief {
@@ -142,6 +152,7 @@
             blocked_until: Instant::ZERO,
             cold_until,
             used: false,
+            sample: Sample::default(),
         }
     }
 
@@ -179,6 +190,8 @@
         let crowd = (self.load(now) + 1.0) / f64::from(slots.max(1));
         let elapsed = seen.elapsed.as_secs_f64() * 1_000.0 / crowd.max(1.0);
         if now >= self.cold_until {
+            self.sample.count += 1;
+            self.sample.sum_ms += elapsed;
             norm.work_ms += gain * (elapsed / self.slowness.max(0.5) - norm.work_ms);
             let ratio = (elapsed / norm.work_ms.max(0.1)).clamp(SLOWNESS.0, SLOWNESS.1);
             self.slowness += SERVER_GAIN * (ratio - self.slowness);
@@ -222,7 +235,8 @@
         !self.used
     }
 
-    pub(super) fn slowness(&self) -> f64 {
-        self.slowness
+    /// Returns the times gathered since the last call.
+    pub(super) fn take_sample(&mut self) -> Sample {
+        std::mem::take(&mut self.sample)
     }
 }
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -14,6 +14,7 @@
 use tarragon_owner::granter::{Granter, Life, Order, Reply, Task, Timing, View};
 use tarragon_owner::loads::Loads;
 use tarragon_owner::plan::{Holder, Plan};
+use tarragon_owner::speeds::Speeds;
 use tarragon_store::api::Api;
 use tarragon_store::error::{Error, Kind};
 use tarragon_store::object::{Key, Version};
@@ -27,7 +28,7 @@
 /// Kind of the store objects that hold a service's plan.
 pub const KIND: &str = "tarragon-plans";
 /// Time that a grant holds: long enough for another host to take over the granter's office.
-const HOLD: Duration = Duration::from_millis(5_000);
+const HOLD: Duration = Duration::from_millis(4_000);
 /// Time between two looks at whether keys should move.
 const PLANNING: Duration = Duration::from_millis(400);
 /// Time for which the list of backend servers must stay the same before keys are dealt first.
@@ -107,6 +108,7 @@
     version: Version,
     busy: bool,
     loads: Loads,
+    speeds: Speeds,
     planned: Instant,
     changes: u64,
     published: Option<Map>,
@@ -169,7 +171,18 @@
     }
 
     /// Adds what a host's requests tell.
-    pub fn report(&mut self, traffic: &[(String, Vec<(u16, u32)>)]) {
+    pub fn report(
+        &mut self,
+        traffic: &[(String, Vec<(u16, u32)>)],
+        served: &[(String, u32, f32)],
+    ) {
+        let fleet = self.state.fleet.borrow();
+        for (id, count, sum_ms) in served {
+            let service = fleet.get(id).map(|server| &server.entry.service);
+            if let Some(service) = service.and_then(|name| self.services.get_mut(name)) {
+                service.speeds.add(id, *count, f64::from(*sum_ms));
+            }
+        }
         for (name, keys) in traffic {
             let Some(service) = self.services.get_mut(name) else {
                 continue;
@@ -262,12 +275,15 @@
     /// Looks whether keys should move, and writes the plan that says so.
     fn plan(&mut self, name: &str, now: Instant) {
         let candidates = self.candidates(name, now);
-        let work = self.state.fleet.borrow().work(name);
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
         service.planned = now;
+        let fleet = self.state.fleet.borrow();
+        service.speeds.retain(|id| fleet.get(id).is_some());
+        drop(fleet);
         service.loads.fade(now);
+        let work_ms = service.speeds.mean_ms();
         let rates = service.loads.rates(now);
         let Some(granter) = &service.granter else {
             return;
@@ -275,7 +291,7 @@
         let view = View {
             candidates: &candidates,
             rates: &rates,
-            work_s: work.as_secs_f64(),
+            work_s: work_ms / 1_000.0,
             floor: service.version.0 + 1,
         };
         let fleet = self.state.fleet.borrow();
@@ -287,13 +303,12 @@
         let moved = plan.segments.iter().filter(|s| s.fence == plan.sequence);
         let moved: u32 = moved.map(|s| u32::from(s.to - s.from) + 1).sum();
         log::info!(
-            "event=plan service={name} sequence={} before={} segments={} keys_moved={moved} candidates={} rate={:.0} work_ms={}",
+            "event=plan service={name} sequence={} before={} segments={} keys_moved={moved} candidates={} rate={:.0} work_ms={work_ms:.0}",
             plan.sequence,
             granter.plan().sequence,
             plan.segments.len(),
             candidates.len(),
-            rates.of(0, u16::MAX),
-            work.as_millis()
+            rates.of(0, u16::MAX)
         );
         service.busy = true;
         let expected = service.version;
@@ -309,7 +324,9 @@
                 && server.present()
                 && !self.is_unreached(&server.entry.id, now)
         });
+        let speeds = self.services.get(name).map(|service| &service.speeds);
         let candidates = servers.map(|server| {
+            let slowness = speeds.map_or(1.0, |speeds| speeds.slowness(&server.entry.id));
             let cold = server.known_for(now) < COLD && !server.entry.cold.is_zero();
             let part = if cold { COLD_PART } else { 1.0 };
             Candidate {
@@ -317,7 +334,7 @@
                     id: server.entry.id.clone(),
                     born: server.entry.born,
                 },
-                capacity: f64::from(server.entry.slots) * part / fleet.slowness(&server.entry.id),
+                capacity: f64::from(server.entry.slots) * part / slowness,
             }
         });
         candidates.collect()
@@ -407,7 +424,7 @@
     }
 
     fn ordered(&mut self, name: &str, order: &Order, sent: Instant, reply: Reply, now: Instant) {
-        if reply == Reply::Unknown {
+        if matches!(reply, Reply::Unknown | Reply::NotSent) {
             let entry = self.unreached.entry(order.server.id.clone());
             entry.or_insert((now, now)).1 = now;
         } else {
@@ -417,6 +434,7 @@
             Reply::Done { .. } => "done",
             Reply::Outdated => "outdated",
             Reply::Unknown => "unknown",
+            Reply::NotSent => "not-sent",
         };
         let Some(service) = self.services.get_mut(name) else {
             return;
@@ -545,6 +563,7 @@
             version: Version::ABSENT,
             busy: false,
             loads: Loads::new(now),
+            speeds: Speeds::default(),
             planned: now,
             changes: 1,
             published: None,
@@ -579,7 +598,7 @@
 /// Sends one order and reads how it ended.
 async fn send(state: &State, pool: &Pool, order: &Order) -> Reply {
     let Some(addr) = address(state, order) else {
-        return Reply::Unknown;
+        return Reply::NotSent;
     };
     let time = match order.task {
         Task::Grant => GRANT_TIME,
@@ -623,14 +642,18 @@
     need: Need,
 ) -> Result<Reply, String> {
     loop {
-        let mut lease = pool
-            .lease(&order.server.id, addr, need)
-            .await
-            .map_err(|error| error.to_string())?;
+        let mut lease = match pool.lease(&order.server.id, addr, need).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                log::debug!("event=order-not-sent error=\"{error}\"");
+                return Ok(Reply::NotSent);
+            }
+        };
         let response = match lease.send(request(state, order)).await {
             Ok(response) => response,
             Err((Some(_), _)) if lease.reused => continue,
-            Err((_, text)) => return Err(text),
+            Err((Some(_), _)) => return Ok(Reply::NotSent),
+            Err((None, text)) => return Err(text),
         };
         let names = state.platform.headers();
         let status = response.status();
--- a/crates/edge/src/office.rs
+++ b/crates/edge/src/office.rs
@@ -31,28 +31,28 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two beats of the granter to other hosts.
-const BEAT: Duration = Duration::from_millis(300);
+const BEAT: Duration = Duration::from_millis(200);
 /// Time without a beat after which a host doubts that the granter is alive.
-const DOUBT: Duration = Duration::from_millis(1_100);
+const DOUBT: Duration = Duration::from_millis(800);
 /// Time between two renewals of the office in the store.
-const RENEWAL: Duration = Duration::from_millis(1_000);
+const RENEWAL: Duration = Duration::from_millis(700);
 /// Time for which a doubting host must see the office unrenewed before it takes it.
-const VACANT: Duration = Duration::from_millis(1_500);
+const VACANT: Duration = Duration::from_millis(1_200);
 /// Age of the latest proof of its office up to which a granter sends orders; below [`VACANT`].
-const CONFIRMED: Duration = Duration::from_millis(1_300);
+const CONFIRMED: Duration = Duration::from_millis(1_000);
 /// Time for which a majority of its voters must follow another before a granter has surely
 /// stopped: [`CONFIRMED`], and some for the way.
-const BLOCKED: Duration = Duration::from_millis(1_600);
+const BLOCKED: Duration = Duration::from_millis(1_200);
 /// Time between two ticks after which a granter counts as frozen meanwhile.
 const FREEZE: Duration = Duration::from_millis(700);
 /// Time between two reads of the office by a doubting host.
-const READ: Duration = Duration::from_millis(350);
+const READ: Duration = Duration::from_millis(250);
 /// Time between two reads of plans by a host that knows no holders.
 const PLANS: Duration = Duration::from_millis(1_000);
 /// Time between two attempts to reach a host.
 const DIAL: Duration = Duration::from_millis(600);
 /// Time between two reports to the granter.
-const REPORT: Duration = Duration::from_millis(500);
+const REPORT: Duration = Duration::from_millis(350);
 /// Time between two questions to other hosts while the store does not answer.
 const ASK: Duration = Duration::from_millis(300);
 /// Age of the granter's facts, in milliseconds, after which it should not hold the office.
@@ -396,6 +396,9 @@
     fn report(&self) -> Frame {
         let traffic = self.state.take_traffic().into_iter();
         let traffic = traffic.map(|(service, keys)| (service, keys.into_iter().collect()));
+        let samples = self.state.fleet.borrow_mut().take_samples().into_iter();
+        #[expect(clippy::cast_possible_truncation, reason = "milliseconds of a few requests")]
+        let served = samples.map(|(id, sample)| (id, sample.count, sample.sum_ms as f32));
         let beat_us = match &self.role {
             Role::Following(followed) => followed.sent_us,
             _ => 0,
@@ -403,6 +406,7 @@
         Frame::Report {
             beat_us,
             traffic: traffic.collect(),
+            served: served.collect(),
             crashes: self.state.take_convicted(),
         }
     }
@@ -414,10 +418,13 @@
             self.report()
         });
         if let Some(Frame::Report {
-            traffic, crashes, ..
+            traffic,
+            served,
+            crashes,
+            ..
         }) = report
         {
-            self.take_report(&traffic, crashes);
+            self.take_report(&traffic, &served, crashes);
         }
         let Role::Granting(grants) = &mut self.role else {
             return;
@@ -459,9 +466,14 @@
         }
     }
 
-    fn take_report(&mut self, traffic: &[(String, Vec<(u16, u32)>)], crashes: Vec<(u64, String)>) {
+    fn take_report(
+        &mut self,
+        traffic: &[(String, Vec<(u16, u32)>)],
+        served: &[(String, u32, f32)],
+        crashes: Vec<(u64, String)>,
+    ) {
         if let Role::Granting(grants) = &mut self.role {
-            grants.granting.report(traffic);
+            grants.granting.report(traffic, served);
         }
         if !crashes.is_empty() {
             self.take_crashes(&crashes);
@@ -577,6 +589,7 @@
             Frame::Report {
                 beat_us,
                 traffic,
+                served,
                 crashes,
             } => {
                 let host = self.up.get(&link).map(|link| link.host.clone());
@@ -587,7 +600,7 @@
                     let known = grants.followers.entry(host).or_insert(answered);
                     *known = answered.max(*known);
                 }
-                self.take_report(&traffic, crashes);
+                self.take_report(&traffic, &served, crashes);
             }
             Frame::Crashes { crashes } => self.take_crashes(&crashes),
             Frame::Ask { catalog, entries } => self.tell(link, catalog, entries),
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -86,6 +86,9 @@
         beat_us: u64,
         /// Requests for each key since the last report, by service.
         traffic: Vec<(String, Vec<(u16, u32)>)>,
+        /// Requests served since the last report and the sum of their times in milliseconds, by
+        /// backend server.
+        served: Vec<(String, u32, f32)>,
         /// Requests that crashed a backend server.
         crashes: Vec<(u64, String)>,
     },
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -83,6 +83,8 @@
         /// What the former holder handed over.
         handover: Option<String>,
     },
+    /// It did not leave this host.
+    NotSent,
     /// The backend server has seen a higher fence number.
     Outdated,
     /// Whether it was, or will be, carried out is not known.
@@ -119,6 +121,8 @@
     handover: Option<String>,
     /// Latest moment at which the holder may hold the keys by an order of this granter.
     held_until: Option<Instant>,
+    /// The same before the order that is on its way; an order that did not leave leaves it so.
+    held_before: Option<Instant>,
     /// Whether a granter before this one may have sent grants under this fence number.
     inherited: bool,
     /// Whether the holder has taken a grant under this fence number.
@@ -328,6 +332,7 @@
             stage,
             handover: None,
             held_until: None,
+            held_before: None,
             inherited: false,
             taken: false,
             pending: None,
@@ -405,6 +410,7 @@
             stage,
             handover: None,
             held_until: None,
+            held_before: None,
             inherited: true,
             taken: false,
             pending: None,
@@ -466,6 +472,7 @@
             Stage::Freeing(former, _) => (Task::Release, former.holder.clone()),
             Stage::Free => {
                 let until = now + timing.hold + timing.margin;
+                self.held_before = self.held_until;
                 self.held_until = Some(self.held_until.map_or(until, |held| held.max(until)));
                 (Task::Grant, self.segment.holder.clone())
             }
@@ -507,7 +514,14 @@
                 self.pending = None;
                 false
             }
-            (Task::Release, Reply::Outdated) | (_, Reply::Unknown) => false,
+            (Task::Grant, Reply::NotSent) => {
+                // Only if no later order is on its way: that one may have left.
+                if self.pending == Some(sent) {
+                    self.held_until = self.held_before;
+                }
+                false
+            }
+            (Task::Release, Reply::Outdated | Reply::NotSent) | (_, Reply::Unknown) => false,
         }
     }
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod granter;
 pub mod loads;
 pub mod plan;
+pub mod speeds;
