--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -52,6 +52,9 @@
     pub revision: u64,
     learnt: Instant,
     present: bool,
+    /// Since when the entry is missing that may come back.
+    missing: Option<Instant>,
+    /// Until when it may come back.
     lapsing: Option<Instant>,
     belief: Belief,
 }
@@ -125,6 +128,10 @@
 const RANKS: u32 = 4;
 /// Part of the choices that go to a backend server which was never tried.
 const EXPLORE: f64 = 0.1;
+/// How much slower a backend server counts that the request was sent to before.
+const AGAIN: f64 = 4.0;
+/// How much slower a backend server counts whose entry is missing.
+const MISSING: f64 = 50.0;
 /// Spread of the noise that keeps hosts from choosing alike.
 const NOISE: f64 = 0.15;
 
@@ -163,6 +170,7 @@
                 revision,
                 learnt: now,
                 present: true,
+                missing: None,
                 lapsing: None,
                 belief,
                 entry,
@@ -175,6 +183,7 @@
         }
         known.revision = revision;
         known.present = true;
+        known.missing = None;
         known.lapsing = None;
         let reborn = known.entry.born != entry.born || known.entry.addr != entry.addr;
         let was_ready = known.standing == Standing::Ready;
@@ -206,6 +215,7 @@
         }
         server.revision = revision;
         if lapse && server.standing == Standing::Ready {
+            server.missing.get_or_insert(now);
             server.lapsing.get_or_insert(now + RETURN_TIME);
             return false;
         }
@@ -299,9 +309,15 @@
                 return Ok(server.pick());
             }
             let finish = server.belief.finish(&norm, server.entry.slots, now);
-            let again = if untried { 1.0 } else { 4.0 };
+            let again = if untried { 1.0 } else { AGAIN };
+            let missing = if server.missing.is_some() {
+                MISSING
+            } else {
+                1.0
+            };
             let noise = 1.0 + NOISE * spread(ask.dice, &server.entry.id);
-            let cost = (finish + norm.far(self.distance(&server.entry.zone))) * again * noise;
+            let cost =
+                (finish + norm.far(self.distance(&server.entry.zone))) * again * missing * noise;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, finish, server));
             }
@@ -357,13 +373,15 @@
 
     /// Tells whether new requests may go there, for work that only this server can do.
     ///
-    /// A server that leaves still runs such work for `drain` after this host learnt of it.
+    /// A server that leaves, or whose entry is missing, still runs such work for `drain` after
+    /// this host learnt of it.
     #[must_use]
     pub fn takes(&self, drain: Duration, now: Instant) -> bool {
-        match self.standing {
-            Standing::Ready => true,
-            Standing::Leaving(since) => now.since(since) < drain,
-        }
+        let since = match self.standing {
+            Standing::Ready => self.missing,
+            Standing::Leaving(since) => Some(since),
+        };
+        since.is_none_or(|since| now.since(since) < drain)
     }
 
     /// Returns the time since this host learnt of this life of the server.
@@ -382,11 +400,13 @@
         }
     }
 
+    /// Counts the server as leaving, from when its entry was missing first.
     fn leave(&mut self, now: Instant) {
         self.present = false;
         self.lapsing = None;
+        let since = self.missing.take().unwrap_or(now);
         if self.standing == Standing::Ready {
-            self.standing = Standing::Leaving(now);
+            self.standing = Standing::Leaving(since);
         }
     }
 }
--- a/crates/dispatch/src/poison.rs
+++ b/crates/dispatch/src/poison.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Notes that the request was run to a good end: it crashes nothing.
+    ///
+    /// Callers send alike requests, and any of them may run beside one that crashes its server.
+    pub fn acquit(&mut self, print: Print) {
+        self.crashes.remove(&print);
+        self.suspects.retain(|suspect| suspect.print != print);
+    }
+
     /// Tells whether a request is no longer sent.
     ///
     /// ```
--- /dev/null
+++ b/crates/dispatch/tests/fleet.rs
@@ -0,0 +1,235 @@
+//! Which backend server a request goes to, and what makes a host change its mind.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tarragon_dispatch::fleet::{
+    Ask, Change, Entry, Fleet, Load, Place, Refusal, Seen, Standing, Verdict,
+};
+use tarragon_model::time::Instant;
+
+const NOW: Instant = Instant::from_millis(100_000);
+
+fn fleet() -> Fleet {
+    let regions = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    Fleet::new(Place {
+        zone: "a1".to_owned(),
+        regions: HashMap::from(regions),
+    })
+}
+
+fn entry(id: &str, zone: &str) -> Entry {
+    Entry {
+        id: id.to_owned(),
+        born: 1,
+        service: "s".to_owned(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        zone: zone.to_owned(),
+        slots: 6,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn ask(tried: &[String]) -> Ask<'_> {
+    Ask {
+        service: "s",
+        tried,
+        left: Duration::from_secs(1),
+        rank: 1,
+        dice: 0.5,
+    }
+}
+
+fn served(fleet: &mut Fleet, id: &str, ms: u64, load: Option<Load>) {
+    fleet.sent(id);
+    let seen = Seen {
+        elapsed: Duration::from_millis(ms),
+        load,
+        bytes: 90_000,
+        verdict: Verdict::Served,
+    };
+    fleet.ended(id, seen, NOW);
+}
+
+#[test]
+fn the_nearest_of_equal_servers_is_chosen() {
+    let mut fleet = fleet();
+    fleet.learn(entry("far", "b1"), 1, NOW);
+    fleet.learn(entry("near", "a1"), 2, NOW);
+    for id in ["far", "near"] {
+        served(&mut fleet, id, 50, None);
+    }
+    assert_eq!(fleet.pick(&ask(&[]), NOW).unwrap().id, "near");
+}
+
+#[test]
+fn a_full_server_is_passed_over_for_another_in_its_region() {
+    let mut fleet = fleet();
+    fleet.learn(entry("full", "a1"), 1, NOW);
+    fleet.learn(entry("idle", "a2"), 2, NOW);
+    served(&mut fleet, "idle", 50, None);
+    let load = Load {
+        running: 6,
+        waiting: 20,
+    };
+    served(&mut fleet, "full", 50, Some(load));
+    assert_eq!(fleet.pick(&ask(&[]), NOW).unwrap().id, "idle");
+}
+
+#[test]
+fn a_request_that_would_wait_too_long_is_refused_with_a_time_to_come_back() {
+    let mut fleet = fleet();
+    fleet.learn(entry("only", "a1"), 1, NOW);
+    let load = Load {
+        running: 6,
+        waiting: 200,
+    };
+    served(&mut fleet, "only", 60, Some(load));
+    let Err(Refusal::Busy(after)) = fleet.pick(&ask(&[]), NOW) else {
+        panic!("taken on");
+    };
+    assert!(after >= Duration::from_millis(100));
+}
+
+#[test]
+fn a_server_that_was_tried_is_chosen_last() {
+    let mut fleet = fleet();
+    fleet.learn(entry("x", "a1"), 1, NOW);
+    fleet.learn(entry("y", "a1"), 2, NOW);
+    for id in ["x", "y"] {
+        served(&mut fleet, id, 50, None);
+    }
+    let tried = ["x".to_owned()];
+    assert_eq!(fleet.pick(&ask(&tried), NOW).unwrap().id, "y");
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_rests() {
+    let mut fleet = fleet();
+    fleet.learn(entry("x", "a1"), 1, NOW);
+    fleet.sent("x");
+    let seen = Seen {
+        elapsed: Duration::ZERO,
+        load: None,
+        bytes: 0,
+        verdict: Verdict::Unreachable,
+    };
+    fleet.ended("x", seen, NOW);
+    assert_eq!(fleet.pick(&ask(&[]), NOW), Err(Refusal::Nobody));
+    let later = NOW + Duration::from_millis(250);
+    assert!(fleet.pick(&ask(&[]), later).is_ok());
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_requests_and_keyed_ones_for_the_given_time_only() {
+    let mut fleet = fleet();
+    fleet.learn(entry("x", "a1"), 1, NOW);
+    let mut leaving = entry("x", "a1");
+    leaving.draining = true;
+    assert_eq!(fleet.learn(leaving, 2, NOW), Change::Standing);
+    assert_eq!(fleet.pick(&ask(&[]), NOW), Err(Refusal::Nobody));
+    let drain = Duration::from_millis(1_300);
+    let server = fleet.get("x").unwrap();
+    assert!(server.takes(drain, NOW + Duration::from_millis(1_299)));
+    assert!(!server.takes(drain, NOW + Duration::from_millis(1_300)));
+}
+
+#[test]
+fn an_older_entry_changes_nothing() {
+    let mut fleet = fleet();
+    let mut leaving = entry("x", "a1");
+    leaving.draining = true;
+    fleet.learn(leaving, 9, NOW);
+    assert_eq!(fleet.learn(entry("x", "a1"), 8, NOW), Change::None);
+    assert!(matches!(
+        fleet.get("x").unwrap().standing,
+        Standing::Leaving(_)
+    ));
+    assert!(!fleet.forget("x", 8, false, NOW));
+    assert!(fleet.get("x").unwrap().present());
+}
+
+#[test]
+fn a_lapsed_entry_may_return_and_is_gone_otherwise() {
+    let mut fleet = fleet();
+    for id in ["back", "gone"] {
+        fleet.learn(entry(id, "a1"), 1, NOW);
+        assert!(!fleet.forget(id, 5, true, NOW));
+    }
+    fleet.learn(entry("back", "a1"), 6, NOW);
+    let later = NOW + Duration::from_millis(2_400);
+    assert_eq!(fleet.settle(later), ["gone"]);
+    assert_eq!(fleet.get("back").unwrap().standing, Standing::Ready);
+}
+
+#[test]
+fn a_missing_entry_counts_from_when_it_was_missing_first() {
+    let mut fleet = fleet();
+    fleet.learn(entry("x", "a1"), 1, NOW);
+    fleet.learn(entry("y", "b1"), 2, NOW);
+    fleet.forget("x", 5, true, NOW);
+    assert_eq!(fleet.pick(&ask(&[]), NOW).unwrap().id, "y");
+    let drain = Duration::from_millis(1_300);
+    assert!(
+        fleet
+            .get("x")
+            .unwrap()
+            .takes(drain, NOW + Duration::from_millis(1_200))
+    );
+    assert!(
+        !fleet
+            .get("x")
+            .unwrap()
+            .takes(drain, NOW + Duration::from_millis(1_400))
+    );
+    let later = NOW + Duration::from_millis(2_400);
+    fleet.settle(later);
+    assert_eq!(fleet.get("x").unwrap().standing, Standing::Leaving(NOW));
+    assert!(!fleet.get("x").unwrap().takes(drain, later));
+}
+
+#[test]
+fn a_new_life_of_a_server_is_told_apart() {
+    let mut fleet = fleet();
+    fleet.learn(entry("x", "a1"), 1, NOW);
+    let mut next = entry("x", "a1");
+    next.born = 2;
+    assert_eq!(fleet.learn(next, 2, NOW), Change::Reborn);
+}
+
+proptest! {
+    /// Servers that leave, cannot be reached or serve another service are never chosen.
+    #[test]
+    fn only_servers_that_take_requests_are_chosen(
+        states in prop::collection::vec((0..4_u8, 0..3_usize, 1..400_u64), 1..12),
+        dice in 0.0..1.0_f64,
+    ) {
+        let mut fleet = fleet();
+        let zones = ["a1", "a2", "b1"];
+        for (index, (state, zone, ms)) in states.iter().enumerate() {
+            let id = format!("i{index}");
+            let mut entry = entry(&id, zones[*zone]);
+            entry.draining = *state == 1;
+            if *state == 2 {
+                entry.service = "other".to_owned();
+            }
+            fleet.learn(entry, 1, NOW);
+            served(&mut fleet, &id, *ms, None);
+            if *state == 3 {
+                fleet.forget(&id, 2, false, NOW);
+            }
+        }
+        let open = states.iter().any(|(state, ..)| *state == 0);
+        let ask = Ask { dice, ..ask(&[]) };
+        match fleet.pick(&ask, NOW) {
+            Ok(pick) => {
+                let index: usize = pick.id[1..].parse().unwrap();
+                prop_assert_eq!(states[index].0, 0);
+            }
+            Err(refusal) => prop_assert!(!open, "{:?}", refusal),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/limits.rs
@@ -0,0 +1,144 @@
+//! Repeats stay within their bound, routes follow their weights, poison requests are stopped.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use smallvec::smallvec;
+use tarragon_dispatch::budget::{Bound, Budget};
+use tarragon_dispatch::catalog::{Catalog, Kind, Route, Target};
+use tarragon_dispatch::poison::{CRASHES, Poison};
+use tarragon_dispatch::table::Table;
+use tarragon_model::time::Instant;
+
+const BOUND: Bound = Bound {
+    ratio: 0.2,
+    slack: 58.0,
+    window: Duration::from_secs(10),
+};
+
+proptest! {
+    /// Over any window, the hosts together repeat no more than the bound allows.
+    #[test]
+    fn hosts_together_stay_within_the_bound(
+        steps in prop::collection::vec((0..9_usize, any::<bool>(), 0..60_u64), 1..3_000),
+    ) {
+        let mut budgets: Vec<Budget> = (0..9).map(|_| Budget::new(BOUND)).collect();
+        let mut now = Instant::from_millis(1_000);
+        let mut sent: Vec<(Instant, bool)> = Vec::new();
+        for (host, first, pause) in steps {
+            now = now + Duration::from_millis(pause);
+            if first {
+                budgets[host].first(now);
+                sent.push((now, true));
+            } else if budgets[host].repeat(now, 9) {
+                sent.push((now, false));
+            }
+            let recent = sent.iter().filter(|(at, _)| now.since(*at) < BOUND.window);
+            let (mut firsts, mut repeats) = (0.0, 0.0);
+            recent.for_each(|(_, first)| if *first { firsts += 1.0 } else { repeats += 1.0 });
+            prop_assert!(repeats <= BOUND.ratio * firsts + BOUND.slack);
+        }
+    }
+
+    /// Any run of requests follows a route's weights to within one request a target.
+    #[test]
+    fn a_split_follows_its_weights(weights in prop::collection::vec(1..100_u32, 2..5), run in 1..500_u32) {
+        let targets = weights.iter().enumerate().map(|(index, weight)| Target {
+            service: format!("s{index}"),
+            weight: *weight,
+        });
+        let catalog = Catalog {
+            routes: vec![Route { targets: targets.collect(), ..route("/x/") }],
+            ..Catalog::default()
+        };
+        let entry = Table::new(&catalog).find("h", "/x/1").unwrap();
+        let mut dealt = vec![0_u32; weights.len()];
+        for _ in 0..run {
+            let service: usize = entry.deal()[1..].parse().unwrap();
+            dealt[service] += 1;
+        }
+        let total: u32 = weights.iter().sum();
+        for (dealt, weight) in dealt.iter().zip(&weights) {
+            let fair = f64::from(run) * f64::from(*weight) / f64::from(total);
+            prop_assert!((f64::from(*dealt) - fair).abs() <= 2.0, "{dealt} for {fair}");
+        }
+    }
+}
+
+fn route(prefix: &str) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "h".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        rank: 0,
+        targets: smallvec![Target {
+            service: "s".to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let catalog = Catalog {
+        routes: vec![route("/a/"), route("/a/b/"), route("/a/c/")],
+        ..Catalog::default()
+    };
+    let table = Table::new(&catalog);
+    let found = |path: &str| table.find("h", path).map(|entry| entry.route.name.clone());
+    assert_eq!(found("/a/b/1").as_deref(), Some("/a/b/"));
+    assert_eq!(found("/a/d").as_deref(), Some("/a/"));
+    assert_eq!(found("/a"), None);
+    assert!(table.find("other", "/a/b/1").is_none());
+}
+
+#[test]
+fn a_request_that_crashes_servers_is_stopped_and_its_neighbours_are_not() {
+    let mut poison = Poison::default();
+    let mut now = Instant::from_millis(1_000);
+    for (crash, server) in ["a", "b"].into_iter().enumerate() {
+        now = now + Duration::from_millis(300);
+        poison.suspect(7, server, now);
+        poison.suspect(100 + crash as u64, server, now);
+        poison.crashed(server, now + Duration::from_millis(500));
+    }
+    assert_eq!(CRASHES, 2);
+    assert!(poison.refuses(7, now));
+    assert!(!poison.refuses(100, now));
+    assert!(!poison.refuses(101, now));
+}
+
+#[test]
+fn a_lost_answer_without_a_crash_convicts_nobody() {
+    let mut poison = Poison::default();
+    let now = Instant::from_millis(1_000);
+    for server in ["a", "b", "c", "d"] {
+        poison.suspect(7, server, now);
+    }
+    assert!(!poison.refuses(7, now));
+    assert!(
+        poison
+            .crashed("a", now + Duration::from_secs(60))
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_request_that_was_served_since_is_not_stopped() {
+    let mut poison = Poison::default();
+    let now = Instant::from_millis(1_000);
+    for server in ["a", "b", "c"] {
+        poison.suspect(7, server, now);
+        poison.acquit(7);
+        poison.crashed(server, now);
+    }
+    assert!(!poison.refuses(7, now));
+    poison.convict(7, "a", now);
+    poison.acquit(7);
+    poison.convict(7, "b", now);
+    assert!(!poison.refuses(7, now));
+}
--- a/crates/edge/src/facts.rs
+++ b/crates/edge/src/facts.rs
@@ -15,12 +15,15 @@
 use tarragon_store::error::{Error, Kind};
 use tarragon_store::object::{Change, List, Object, Version};
 
+use crate::edit::Edit;
 use crate::state::State;
 
 /// Time that a watch waits for changes; a watch that went silent shows after it.
 const WATCH: Duration = Duration::from_millis(1_000);
 /// Age up to which the facts of the granter spare a host its own calls.
 const FRESH: Duration = Duration::from_millis(2_200);
+/// Time between two catalogs that other hosts are told.
+const CATALOGS: Duration = Duration::from_millis(250);
 /// Time between two looks at whether the granter's facts are fresh.
 const LOOK: Duration = Duration::from_millis(100);
 /// Pause after the first call that failed; it doubles with each further one.
@@ -43,6 +46,8 @@
     seen: [Cell<Instant>; 2],
     relayed_until: Cell<Instant>,
     news: RefCell<News>,
+    /// The catalog as other hosts were told it, and when.
+    told: RefCell<(Option<Object>, Instant)>,
 }
 
 /// What changed since other hosts were told.
@@ -56,8 +61,8 @@
     pub entries: Vec<Object>,
     /// Entries that are gone.
     pub gone: Vec<Gone>,
-    /// The catalog, if it changed.
-    pub catalog: Option<Object>,
+    /// What changed of the catalog.
+    pub catalog: Option<Edit>,
 }
 
 /// Entry that is gone.
@@ -113,8 +118,11 @@
     }
 
     /// Returns what other hosts have not been told, if anything changed.
-    pub fn take_news(&self) -> Option<News> {
+    ///
+    /// Catalogs that follow one another quickly are told together.
+    pub fn take_news(&self, now: Instant) -> Option<News> {
         let mut news = self.news.borrow_mut();
+        news.catalog = self.take_edit(now);
         news.revision = self.entries_revision.get();
         if news.is_empty() {
             return None;
@@ -126,10 +134,28 @@
         Some(std::mem::replace(&mut news, next))
     }
 
+    fn take_edit(&self, now: Instant) -> Option<Edit> {
+        let catalog = self.catalog.borrow();
+        let catalog = catalog.as_ref()?;
+        let mut told = self.told.borrow_mut();
+        let known = told.0.as_ref().map(|object| object.version);
+        if known == Some(catalog.version) || now.since(told.1) < CATALOGS {
+            return None;
+        }
+        let edit = told.0.as_ref().map(|before| Edit::between(before, catalog));
+        *told = (Some(catalog.clone()), now);
+        edit
+    }
+
     /// Takes in what changed at the granter; `false` when something in between is missing.
     pub fn hear(&self, state: &State, news: News) -> bool {
-        if let Some(object) = news.catalog {
-            self.take_catalog(state, object);
+        let mut whole = true;
+        if let Some(edit) = news.catalog {
+            let edited = self.catalog.borrow().as_ref().and_then(|o| edit.apply(o));
+            match edited {
+                Some(object) => self.take_catalog(state, object),
+                None => whole = state.catalog_revision() >= edit.version.0,
+            }
         }
         if news.since > self.entries_revision.get() {
             return false;
@@ -142,7 +168,7 @@
         }
         let reached = self.entries_revision.get().max(news.revision);
         self.entries_revision.set(reached);
-        true
+        whole
     }
 
     /// Returns what is later than the given revisions.
@@ -177,7 +203,6 @@
         match state.platform.catalog(&object.value) {
             Ok(catalog) => {
                 if state.enforce(catalog, object.version.0) {
-                    self.news.borrow_mut().catalog = Some(object.clone());
                     *self.catalog.borrow_mut() = Some(object);
                 }
             }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -371,6 +371,7 @@
         let detail = match outcome {
             Outcome::Answer(answer) => answer.status.as_u16().to_string(),
             Outcome::NotRun(status) => status.as_u16().to_string(),
+            Outcome::Full => "-".to_owned(),
             Outcome::NotSent(text) | Outcome::Unknown(text) => format!("\"{text}\""),
         };
         self.trace += &format!(
@@ -468,6 +469,10 @@
     async fn judge(&mut self, pick: &Pick, outcome: Outcome, key: Option<u16>) -> Next {
         match outcome {
             Outcome::Answer(answer) => self.judge_answer(answer),
+            Outcome::Full => {
+                self.sends -= 1;
+                Next::Again
+            }
             Outcome::NotSent(_) if self.sends < MAX_SENDS => {
                 self.pause(key).await;
                 Next::Again
@@ -502,6 +507,9 @@
 
     /// Passes an answer on, unless another backend server may do better.
     fn judge_answer(&mut self, answer: Answer) -> Next {
+        if answer.status.is_success() {
+            self.state.poison.borrow_mut().acquit(self.print);
+        }
         if !answer.status.is_server_error() || !self.order.repeatable || self.key.is_some() {
             return Next::Done(answer);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! One thread runs everything: the hosts are a fifth of a core, and state needs no locks so.
 
 pub mod clock;
+pub mod edit;
 pub mod facts;
 pub mod front;
 pub mod granting;
--- a/crates/edge/src/office.rs
+++ b/crates/edge/src/office.rs
@@ -47,6 +47,14 @@
 const FREEZE: Duration = Duration::from_millis(700);
 /// Time between two reads of the office by a doubting host.
 const READ: Duration = Duration::from_millis(250);
+/// Hosts for which a doubting host's reads are spread over one more [`READ`].
+const HOSTS_A_READ: u32 = 16;
+/// How much longer a weak host waits before it takes the office.
+const HANDICAP: Duration = Duration::from_millis(600);
+/// Part of the strongest host's processor below which a host is weak.
+const WEAK_PART: f64 = 0.8;
+/// Processor below which a host counts as weak while it knows no other, in cores.
+const SMALL_CORES: f64 = 0.2;
 /// Time between two reads of plans by a host that knows no holders.
 const PLANS: Duration = Duration::from_millis(1_000);
 /// Time between two attempts to reach a host.
@@ -139,6 +147,8 @@
     voters: Vec<String>,
     /// When a beat was sent that a follower has answered.
     followers: HashMap<String, Instant>,
+    /// Processor of the strongest host heard of, in cores.
+    strongest: f64,
     /// Voters of the renewal that is on its way.
     proposed: Vec<String>,
     ticked: Instant,
@@ -244,6 +254,8 @@
     plans_read: Instant,
     reading: bool,
     holder_gone: bool,
+    /// Processor of the strongest host, in cores, as the granter last said.
+    strongest: f64,
     dialled: HashMap<SocketAddr, Instant>,
     up: HashMap<u64, Link>,
     hosts: HashMap<String, Instant>,
@@ -278,6 +290,7 @@
         plans_read: now,
         reading: false,
         holder_gone: false,
+        strongest: state.settings.cores.max(SMALL_CORES),
         dialled: HashMap::new(),
         up: HashMap::new(),
         hosts: HashMap::new(),
@@ -311,7 +324,7 @@
         }
         if !matches!(self.role, Role::Granting(_)) {
             // The granter alone tells hosts on: each of them hears it.
-            self.facts.take_news();
+            self.facts.take_news(now);
         }
         match &mut self.role {
             Role::Granting(_) => self.grant(now),
@@ -333,7 +346,8 @@
 
     /// Looks for the granter, in the store and at the hosts that may know.
     fn seek(&mut self, now: Instant) {
-        if !self.reading && now.since(self.read_at) >= READ {
+        let pause = READ * (self.state.hosts.get() / HOSTS_A_READ).clamp(1, 8);
+        if !self.reading && now.since(self.read_at) >= pause {
             self.read_at = now;
             self.reading = true;
             self.read();
@@ -408,6 +422,7 @@
         };
         Frame::Report {
             beat_us,
+            cores: self.state.settings.cores,
             traffic: traffic.collect(),
             served: served.collect(),
             crashes: self.state.take_convicted(),
@@ -447,12 +462,12 @@
                 }
             }
         }
-        if let Some(news) = self.facts.take_news() {
+        if let Some(news) = self.facts.take_news(now) {
             self.links.broadcast(&Frame::News(news));
         }
         if now.since(grants.beaten) >= BEAT {
             grants.beaten = now;
-            let beat = beat(&self.state, &self.facts, grants.version, self.hosts.len());
+            let beat = beat(&self.state, &self.facts, grants, self.hosts.len());
             self.links.broadcast(&beat);
         }
         let former: Vec<Process> = grants.former.iter().map(|f| f.process.clone()).collect();
@@ -529,10 +544,8 @@
             let replaced =
                 |process: &Process| process.host == name && process.incarnation != incarnation;
             grants.stopped(replaced);
-            self.links.send(
-                link,
-                &beat(&self.state, &self.facts, grants.version, hosts + 1),
-            );
+            self.links
+                .send(link, &beat(&self.state, &self.facts, grants, hosts + 1));
             for (service, map) in grants.granting.maps() {
                 self.links.send(link, &Frame::Keys { service, map });
             }
@@ -566,10 +579,12 @@
                 office,
                 sent_us,
                 hosts,
+                strongest,
                 facts_age_ms,
                 catalog,
                 entries,
             } => {
+                self.strongest = strongest;
                 self.beat(link, (office, sent_us), hosts, facts_age_ms);
                 self.compare(link, facts_age_ms, (catalog, entries));
             }
@@ -591,6 +606,7 @@
             Frame::Keys { service, map } => self.state.learn_map(&service, map),
             Frame::Report {
                 beat_us,
+                cores,
                 traffic,
                 served,
                 crashes,
@@ -599,6 +615,7 @@
                 if let Role::Granting(grants) = &mut self.role
                     && let Some(host) = host
                 {
+                    grants.strongest = grants.strongest.max(cores);
                     let answered = Instant::from_micros(beat_us);
                     let known = grants.followers.entry(host).or_insert(answered);
                     *known = answered.max(*known);
@@ -685,6 +702,7 @@
             && grants.version.0 < version
         {
             self.depose("another host announced its office");
+            self.links.broadcast(&Frame::Office { version, address });
         }
         if !matches!(self.role, Role::Granting(_)) {
             self.links.send(link, &Frame::Yielded { version });
@@ -753,7 +771,11 @@
         }
         match result {
             Err(error) => log::debug!("event=office-unread error=\"{error}\""),
-            Ok(None) => self.take(Version::ABSENT),
+            Ok(None) => {
+                if now.since(self.seen) >= self.handicap() {
+                    self.take(Version::ABSENT);
+                }
+            }
             Ok(Some((version, record))) => {
                 let known = self.record.as_ref().map(|(version, _)| *version);
                 if known != Some(version) {
@@ -766,15 +788,25 @@
                     }
                 }
                 let own = record.host == self.state.settings.host;
-                let free = record.vacant || own || self.holder_gone;
+                let free = record.vacant || self.holder_gone;
                 self.record = Some((version, record));
-                if free || now.since(self.seen) >= VACANT {
+                let wait = self.handicap() + if free { Duration::ZERO } else { VACANT };
+                if own || now.since(self.seen) >= wait {
                     self.take(version);
                 }
             }
         }
     }
 
+    /// Returns how much longer than others this host waits before it takes the office.
+    fn handicap(&self) -> Duration {
+        if self.state.settings.cores < self.strongest * WEAK_PART {
+            HANDICAP
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Returns the granters before the office's version `expected` that may still send orders.
     fn former(&self, expected: Version) -> Vec<Process> {
         let known = self.record.as_ref();
@@ -851,6 +883,7 @@
             confirmed: now,
             voters: vec![self.state.settings.host.clone()],
             followers: HashMap::new(),
+            strongest: self.state.settings.cores,
             proposed: Vec::new(),
             ticked: now,
             renewal_sent: now,
@@ -930,13 +963,14 @@
     }
 }
 
-fn beat(state: &State, facts: &Facts, version: Version, hosts: usize) -> Frame {
+fn beat(state: &State, facts: &Facts, grants: &Grants, hosts: usize) -> Frame {
     let age = facts.age(state.now()).as_millis();
     let (catalog, entries) = facts.reached(state);
     Frame::Beat {
-        office: version.0,
+        office: grants.version.0,
         sent_us: state.now().as_micros(),
         hosts: count(hosts),
+        strongest: grants.strongest,
         facts_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
         catalog,
         entries,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -45,6 +45,8 @@
         sent_us: u64,
         /// Hosts that take requests.
         hosts: u32,
+        /// Processor of the strongest host, in cores.
+        strongest: f64,
         /// Time since the store confirmed its facts, in milliseconds.
         facts_age_ms: u64,
         /// Revision of its catalog.
@@ -84,6 +86,8 @@
     Report {
         /// Clock of the granter as its latest beat told, in microseconds; this answers it.
         beat_us: u64,
+        /// Processor of the host, in cores.
+        cores: f64,
         /// Requests for each key since the last report, by service.
         traffic: Vec<(String, Vec<(u16, u32)>)>,
         /// Requests served since the last report and the sum of their times in milliseconds, by
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -85,7 +85,7 @@
     pub limit: u32,
     /// Longest time that the connection may have been idle.
     pub idle: Duration,
-    /// Moment at which it is too late.
+    /// Moment until which it waits for one that is in use.
     pub until: Instant,
 }
 
@@ -106,7 +106,7 @@
                 });
             }
             if peer.open.get() < need.limit.max(1) {
-                return connect(peer, addr, need.until).await;
+                return connect(peer, addr).await;
             }
             // A connection idle for too long makes room for a new one.
             peer.idle.borrow_mut().pop();
@@ -150,10 +150,10 @@
     }
 }
 
-async fn connect(peer: Rc<Peer>, addr: SocketAddr, until: Instant) -> Result<Lease, Error> {
+async fn connect(peer: Rc<Peer>, addr: SocketAddr) -> Result<Lease, Error> {
     let guard = Open::new(Rc::clone(&peer));
     let failed = |text: String| Error::Connect { peer: addr, text };
-    let until = until.min(Instant::now() + CONNECT_TIME);
+    let until = Instant::now() + CONNECT_TIME;
     let stream = tokio::time::timeout_at(until, TcpStream::connect(addr))
         .await
         .map_err(|_| failed("timeout".to_owned()))?
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::platform::Headers;
-use crate::pool::{Lease, Need};
+use crate::pool::{self, Lease, Need};
 use crate::state::State;
 
 /// Error of a body that could not be carried to its end.
@@ -30,6 +30,11 @@
 const UNSURE_IDLE: Duration = Duration::from_millis(1_500);
 /// Idle time that matters to requests which may run again: none.
 const ANY_IDLE: Duration = Duration::from_secs(60);
+/// Time for which a request waits for a connection before its backend server is chosen anew.
+const CONNECTION_WAIT: Duration = Duration::from_millis(150);
+/// Connections to one backend server that each host may open, however many hosts there are: they
+/// are rarely open at once.
+const LEAST_CONNECTIONS: u32 = 2;
 /// Part of a backend server's connections that all hosts together open.
 const CONNECTION_PART: f64 = 0.9;
 
@@ -65,6 +70,8 @@
     Answer(Answer),
     /// Nothing was sent.
     NotSent(String),
+    /// Nothing was sent: all connections that this host may open stayed in use.
+    Full,
     /// The backend server says that it did not run the request.
     NotRun(StatusCode),
     /// The request was sent and may have run; its answer cannot be used.
@@ -78,6 +85,7 @@
         match self {
             Self::Answer(_) => "answer",
             Self::NotSent(_) => "not-sent",
+            Self::Full => "full",
             Self::NotRun(_) => "not-run",
             Self::Unknown(_) => "unknown",
         }
@@ -140,13 +148,14 @@
         } else {
             UNSURE_IDLE
         },
-        until,
+        until: until.min(Instant::now() + CONNECTION_WAIT),
     };
     let mut request = order.request(state.platform.headers(), pick, until);
     loop {
         let mut lease = match state.pool.lease(&pick.id, pick.addr, need).await {
             Ok(lease) => lease,
-            Err(error) => {
+            Err(pool::Error::Full { .. }) => return Outcome::Full,
+            Err(error @ pool::Error::Connect { .. }) => {
                 flight.end(Verdict::Unreachable, None, 0);
                 return Outcome::NotSent(error.to_string());
             }
@@ -176,7 +185,7 @@
         reason = "a part of a small positive number"
     )]
     let limit = part as u32;
-    limit.max(1)
+    limit.max(LEAST_CONNECTIONS)
 }
 
 impl Order {
@@ -278,7 +287,7 @@
     let mut first: Option<Bytes> = None;
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| crate::pool::cause(&error))?;
+        let frame = frame.map_err(|error| pool::cause(&error))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -15,6 +15,8 @@
     pub zone: String,
     /// Region of each failure domain.
     pub regions: HashMap<String, String>,
+    /// Processor that the host has, in cores.
+    pub cores: f64,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address at which the platform's balancer asks whether the host takes connections.
