Let callers read slowly: only backend servers and hosts must take bytes in time

Cause: the time for unacknowledged bytes, meant for silent backend servers, was set on callers' connections too; a caller that does not read for 1.5 s lost its answer. Change: callers get keep-alive probes only.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -80,7 +80,7 @@
 
 async fn connection(state: Rc<State>, stream: TcpStream) {
     let _open = Open::new(Rc::clone(&state));
-    pool::tune(&stream);
+    pool::tune_caller(&stream);
     let limits = state.catalog().limits;
     let socket = Socket::new(stream);
     let service = service_fn(|request| {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -175,8 +175,19 @@
     })
 }
 
-/// Makes a connection notice a peer that is gone without a word.
+/// Makes a connection notice a peer that is gone without a word, or that does not read.
 pub fn tune(stream: &TcpStream) {
+    tune_caller(stream);
+    let tuned = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    if let Err(error) = tuned {
+        log::debug!("event=socket-untuned error=\"{error}\"");
+    }
+}
+
+/// Makes a connection notice a caller that is gone without a word.
+///
+/// A caller may take its time to read an answer.
+pub fn tune_caller(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE)
@@ -184,8 +195,7 @@
         .with_retries(2);
     let tuned = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
-        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive));
     if let Err(error) = tuned {
         log::debug!("event=socket-untuned error=\"{error}\"");
     }
