Cease to send to a leaving holder of keys at half of the time that it may be reached

Ruled out: late news (keyed requests may follow it), the wait for a connection (150 ms at most now). Change: half of the bound in place of the bound less 0.7 s; the rule moved to tarragon-dispatch.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -128,6 +128,9 @@
 const RANKS: u32 = 4;
 /// Part of the choices that go to a backend server which was never tried.
 const EXPLORE: f64 = 0.1;
+/// Part of the time that a leaving backend server may be reached in which requests are sent; the
+/// rest is for the way of the news to a slow host, and of a request from there to the server.
+const DRAIN_PART: f64 = 0.5;
 /// How much slower a backend server counts that the request was sent to before.
 const AGAIN: f64 = 4.0;
 /// How much slower a backend server counts whose entry is missing.
@@ -373,10 +376,11 @@
 
     /// Tells whether new requests may go there, for work that only this server can do.
     ///
-    /// A server that leaves, or whose entry is missing, still runs such work for `drain` after
-    /// this host learnt of it.
+    /// A server that leaves, or whose entry is missing, still runs such work. No request may reach
+    /// it later than `drain` after its leave was known, so sending ceases well before.
     #[must_use]
     pub fn takes(&self, drain: Duration, now: Instant) -> bool {
+        let drain = drain.mul_f64(DRAIN_PART);
         let since = match self.standing {
             Standing::Ready => self.missing,
             Standing::Leaving(since) => Some(since),
--- a/crates/dispatch/src/fleet/belief.rs
+++ b/crates/dispatch/src/fleet/belief.rs
@@ -79,7 +79,7 @@
 /// Delay that a kilobyte from another failure domain is worth avoiding, in milliseconds.
 const REGION_MS_PER_KB: f64 = 1.5;
 /// Longest delay that bytes are worth avoiding, in milliseconds.
-const MAX_FAR_MS: f64 = 400.0;
+const MAX_FAR_MS: f64 = 1_000.0;
 
 impl Norm {
     /// Returns what the distance counts, in milliseconds.
@@ -87,7 +87,7 @@
         let kilobytes = self.bytes / 1_000.0;
         match distance {
             Distance::Zone => 0.0,
-            Distance::Region => REGION_MS + (kilobytes * REGION_MS_PER_KB).min(MAX_FAR_MS / 4.0),
+            Distance::Region => REGION_MS + (kilobytes * REGION_MS_PER_KB).min(MAX_FAR_MS / 8.0),
             Distance::Far => FAR_MS + (kilobytes * FAR_MS_PER_KB).min(MAX_FAR_MS),
         }
     }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -34,9 +34,6 @@
 const KEY_PAUSE: Duration = Duration::from_millis(60);
 /// Time after which a caller may come back whose request found no backend server.
 const COME_BACK: Duration = Duration::from_millis(250);
-/// Part of the time that a leaving backend server still takes requests that is kept for the way
-/// of the news to this host and of a request to the server.
-const DRAIN_MARGIN: Duration = Duration::from_millis(700);
 /// Sends of one request, those that ran nothing among them.
 const MAX_SENDS: u32 = 4;
 /// Part of the time left below which nothing more is sent.
@@ -466,8 +463,7 @@
         let pick = holder.and_then(|holder| {
             let server = fleet.get(&holder.id)?;
             let same = server.entry.born == holder.born;
-            let drain = state.bounds.get().drain.saturating_sub(DRAIN_MARGIN);
-            let takes = same && server.takes(drain, now);
+            let takes = same && server.takes(state.bounds.get().drain, now);
             takes.then(|| server.pick())
         });
         (pick, version, age)
