Blame no host for an answer that its backend server broke off

The backend server broke the answer off; a host that was leaving relayed it. Ruled out: the shutdown of the host (it ended 3.5 s later, with no connection left). Change: the stand-in records which answers it breaks off, and the check leaves out just those requests; another request's broken answer excuses nothing. Conclusion: the check was wrong, the product was not.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -139,7 +139,11 @@
     summary.lost_assignments += add(owner::overwritten(&traces.samples.changes));
     summary.over_slots = add(capacity::slots(&traces.works, config));
     summary.over_connections = add(capacity::connections(&traces.samples.connections, config));
-    summary.cut_requests = add(leave::cut(&traces.attempts, &traces.entries.hosts));
+    summary.cut_requests = add(leave::cut(
+        &traces.attempts,
+        &traces.works,
+        &traces.entries.hosts,
+    ));
     let (kills, found) = effect::poison_kills(&traces.works, &traces.entries.poisons);
     summary.poison_kills_max = kills;
     add(found);
--- a/crates/lab/src/standin/backend/http.rs
+++ b/crates/lab/src/standin/backend/http.rs
@@ -156,8 +156,9 @@
             return refused(state, "deadline");
         }
     }
-    match run.commit() {
-        Ok(()) => done(state, order, slot),
+    let half = state.faults().halves_answers();
+    match run.commit(half) {
+        Ok(()) => done(order, slot, half),
         Err(_) => refused(state, "expired"),
     }
 }
@@ -209,8 +210,7 @@
     }
 }
 
-fn done(state: &State, order: &Order, slot: OwnedSemaphorePermit) -> Response {
-    let half = state.faults().halves_answers();
+fn done(order: &Order, slot: OwnedSemaphorePermit, half: bool) -> Response {
     let length = if half {
         order.bytes.max(MIN_HALVED)
     } else {
--- a/crates/lab/src/standin/backend/record.rs
+++ b/crates/lab/src/standin/backend/record.rs
@@ -44,6 +44,8 @@
     pub end_us: Option<u64>,
     /// State of the run.
     pub state: State,
+    /// Whether the answer is broken off on purpose.
+    pub halved: bool,
 }
 
 /// Record file, open for appending.
--- a/crates/lab/src/standin/backend/run.rs
+++ b/crates/lab/src/standin/backend/run.rs
@@ -86,6 +86,7 @@
     order: Order,
     start_us: u64,
     ended: bool,
+    halved: bool,
 }
 
 impl Run {
@@ -96,6 +97,7 @@
             order,
             start_us: clock::micros(),
             ended: false,
+            halved: false,
         };
         run.append(None, record::State::Started);
         run
@@ -103,10 +105,13 @@
 
     /// Commits the work, unless its grant has expired or been superseded.
     ///
+    /// `halved` records that the answer will be broken off.
+    ///
     /// # Errors
     ///
     /// [`Refusal`] when the work was given up; it has no effect then.
-    pub fn commit(mut self) -> Result<(), Refusal> {
+    pub fn commit(mut self, halved: bool) -> Result<(), Refusal> {
+        self.halved = halved;
         match self.state.check(&self.order) {
             Ok(()) => {
                 self.end(record::State::Committed);
@@ -142,6 +147,7 @@
             start_us: self.start_us,
             end_us,
             state,
+            halved: self.halved,
         });
     }
 }
--- a/crates/lab/src/trace.rs
+++ b/crates/lab/src/trace.rs
@@ -49,6 +49,9 @@
     /// Last stage.
     #[serde(rename = "state")]
     pub stage: Stage,
+    /// Whether the backend server broke its answer off on purpose.
+    #[serde(default)]
+    pub halved: bool,
 }
 
 impl Work {
