--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -117,7 +117,7 @@
 }
 
 /// Time for which an entry that lapsed while the store was away may still come back.
-const RETURN_TIME: Duration = Duration::from_millis(2_300);
+pub const RETURN_TIME: Duration = Duration::from_millis(2_300);
 /// Time for which a backend server that left is remembered, for requests that still run there.
 const REMEMBER: Duration = Duration::from_secs(20);
 /// Part of the time left that the expected finish may take, for the highest rank.
--- a/crates/edge/src/facts.rs
+++ b/crates/edge/src/facts.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tarragon_dispatch::fleet::RETURN_TIME;
 use tarragon_model::time::Instant;
 use tarragon_store::api::Api;
 use tarragon_store::error::{Error, Kind};
@@ -32,8 +33,6 @@
 const LAST_PAUSE: Duration = Duration::from_secs(1);
 /// Time without an answer after which entries may have lapsed unseen.
 const AWAY: Duration = Duration::from_millis(900);
-/// Time after the store's return within which entries that lapsed may come back.
-const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
 /// Facts as the store told them, to be told on to hosts that it turns away.
 #[derive(Default)]
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -4,9 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::fleet::{Fleet, Standing};
 use tarragon_model::time::Instant;
@@ -22,9 +19,11 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::keys::{Map, Patch};
-use crate::pool::{Need, Pool};
+use crate::pool::Pool;
 use crate::state::State;
 
+mod order;
+
 /// Kind of the store objects that hold a service's plan.
 pub const KIND: &str = "tarragon-plans";
 /// Time that a grant holds: long enough for another host to take over the granter's office.
@@ -35,12 +34,6 @@
 const SETTLED: Duration = Duration::from_millis(1_200);
 /// Time of failed orders after which a backend server gets no keys.
 const UNREACHED: Duration = Duration::from_millis(1_200);
-/// Time within which a grant must be answered.
-const GRANT_TIME: Duration = Duration::from_millis(900);
-/// Time within which a release must be answered: it waits for running work.
-const RELEASE_TIME: Duration = Duration::from_secs(4);
-/// Connections for orders to one backend server.
-const ORDER_CONNECTIONS: u32 = 6;
 /// Part of its slots that a backend server counts with just after its start.
 const COLD_PART: f64 = 0.5;
 /// Time for which a backend server counts as just started.
@@ -387,7 +380,7 @@
         let (state, pool, done) = (self.state.clone(), self.pool.clone(), self.done.clone());
         let service = name.to_owned();
         tokio::task::spawn_local(async move {
-            let reply = send(&state, &pool, &order).await;
+            let reply = order::send(&state, &pool, &order).await;
             tell(
                 &done,
                 Done::Order {
@@ -590,111 +583,3 @@
         log::debug!("event=granter-result-lost reason=\"process ends\"");
     }
 }
-
-/// Sends one order and reads how it ended.
-async fn send(state: &State, pool: &Pool, order: &Order) -> Reply {
-    let Some(addr) = address(state, order) else {
-        return Reply::NotSent;
-    };
-    let time = match order.task {
-        Task::Grant => GRANT_TIME,
-        Task::Release => RELEASE_TIME,
-    };
-    let until = tokio::time::Instant::now() + time;
-    let need = Need {
-        limit: ORDER_CONNECTIONS,
-        idle: Duration::from_mins(1),
-        until,
-    };
-    let exchange = exchange(state, pool, order, addr, need);
-    match tokio::time::timeout_at(until, exchange).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(text)) => {
-            log::debug!(
-                "event=order-failed server={} error=\"{text}\"",
-                order.server.id
-            );
-            Reply::Unknown
-        }
-        Err(_) => Reply::Unknown,
-    }
-}
-
-/// Returns where an order goes.
-///
-/// Grants are for one life of a backend server; a release is for whichever life it has now.
-fn address(state: &State, order: &Order) -> Option<std::net::SocketAddr> {
-    let fleet = state.fleet.borrow();
-    let server = fleet.get(&order.server.id)?;
-    let same = server.entry.born == order.server.born;
-    (same || order.task == Task::Release).then_some(server.entry.addr)
-}
-
-async fn exchange(
-    state: &State,
-    pool: &Pool,
-    order: &Order,
-    addr: std::net::SocketAddr,
-    need: Need,
-) -> Result<Reply, String> {
-    loop {
-        let mut lease = match pool.lease(&order.server.id, addr, need).await {
-            Ok(lease) => lease,
-            Err(error) => {
-                log::debug!("event=order-not-sent error=\"{error}\"");
-                return Ok(Reply::NotSent);
-            }
-        };
-        let response = match lease.send(request(state, order)).await {
-            Ok(response) => response,
-            Err((Some(_), _)) if lease.reused => continue,
-            Err((Some(_), _)) => return Ok(Reply::NotSent),
-            Err((None, text)) => return Err(text),
-        };
-        let names = state.platform.headers();
-        let status = response.status();
-        let handover = response
-            .headers()
-            .get(&names.handover)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned);
-        let body = response.into_body().collect().await;
-        body.map_err(|error| error.to_string())?;
-        lease.give_back(None);
-        return Ok(match status {
-            StatusCode::OK => Reply::Done { handover },
-            StatusCode::CONFLICT => Reply::Outdated,
-            status => {
-                log::warn!(
-                    "event=order-refused server={} status={status}",
-                    order.server.id
-                );
-                Reply::Unknown
-            }
-        });
-    }
-}
-
-fn request(state: &State, order: &Order) -> Request<Full<Bytes>> {
-    let hold = HOLD.min(state.bounds.get().hold).as_millis();
-    let call = state.platform.order(order, hold);
-    let mut request = Request::new(Full::new(call.body));
-    *request.method_mut() = call.method;
-    match call.path.parse() {
-        Ok(uri) => *request.uri_mut() = uri,
-        Err(error) => log::error!(
-            "event=order-unspellable path={} error=\"{error}\"",
-            call.path
-        ),
-    }
-    let headers = request.headers_mut();
-    let json = http::HeaderValue::from_static("application/json");
-    headers.insert(http::header::CONTENT_TYPE, json);
-    if let Ok(host) = http::HeaderValue::from_str(&order.server.id) {
-        headers.insert(http::header::HOST, host);
-    }
-    if let Ok(id) = http::HeaderValue::from_str(&order.server.id) {
-        headers.insert(state.platform.headers().expect.clone(), id);
-    }
-    request
-}
