Let hot keys run where they are served in time

In seconds 15 to 18 233 requests were reset twice on new connections to the same crowded backend servers. Ruled out: late news of ownership (keys_age_ms under 700), the granter, lost servers (they explain 12 refusals "nobody holds the key"). Change: a full server gets only requests that are expected to end within the objective; a key that alone fills its server moves to one that is clearly faster; after a reset of a new connection none beside the open ones is made for half a second; attempts count backend servers, and a key has one. Tests: dispatch fleet, owner balance (failed before).

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -90,12 +90,30 @@
     pub tried: &'a [String],
     /// Time that its caller still waits.
     pub left: Duration,
+    /// Time in which an answer still has its full worth.
+    pub objective: Duration,
     /// Rank of its route, 0 the highest.
     pub rank: u32,
     /// Number between 0 and 1 that spreads equal choices.
     pub dice: f64,
 }
 
+impl Ask<'_> {
+    /// Returns how long the request may be expected to take at a full server, in milliseconds.
+    ///
+    /// A full server runs as many requests a second however many wait for it: those that would be
+    /// late there only make others late.
+    fn allowed_ms(&self) -> f64 {
+        let left = if self.objective.is_zero() {
+            self.left
+        } else {
+            self.left.min(self.objective)
+        };
+        let rank = f64::from(self.rank.min(RANKS));
+        left.as_secs_f64() * 1_000.0 * (TIME_PART - RANK_STEP * rank)
+    }
+}
+
 /// Backend server that was chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
@@ -337,9 +355,7 @@
         let Some((_, finish, server)) = best else {
             return Err(Refusal::Nobody);
         };
-        let rank = f64::from(ask.rank.min(RANKS));
-        let part = TIME_PART - RANK_STEP * rank;
-        let allowed = ask.left.as_secs_f64() * 1_000.0 * part;
+        let allowed = ask.allowed_ms();
         if finish > allowed && server.belief.full(server.entry.slots, now) {
             let over = (finish - allowed).clamp(100.0, 2_000.0);
             return Err(Refusal::Busy(Duration::from_secs_f64(over / 1_000.0)));
@@ -354,8 +370,7 @@
         let server = self.servers.get(id)?;
         let norm = self.services.get(ask.service).copied().unwrap_or_default();
         let finish = server.belief.finish(&norm, server.entry.slots, now);
-        let rank = f64::from(ask.rank.min(RANKS));
-        let allowed = ask.left.as_secs_f64() * 1_000.0 * (TIME_PART - RANK_STEP * rank);
+        let allowed = ask.allowed_ms();
         if finish <= allowed || !server.belief.full(server.entry.slots, now) {
             return None;
         }
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -38,6 +38,7 @@
         service: "s",
         tried,
         left: Duration::from_secs(1),
+        objective: Duration::from_millis(500),
         rank: 1,
         dice: 0.5,
     }
@@ -94,6 +95,34 @@
     assert!(after >= Duration::from_millis(100));
 }
 
+#[test]
+fn a_full_server_is_not_given_requests_that_would_lose_their_worth() {
+    let mut fleet = fleet();
+    fleet.learn(entry("only", "a1"), 1, NOW);
+    let load = Load {
+        running: 6,
+        waiting: 30,
+    };
+    served(&mut fleet, "only", 100, Some(load));
+    let urgent = Ask {
+        left: Duration::from_secs(10),
+        objective: Duration::from_millis(150),
+        ..ask(&[])
+    };
+    assert!(fleet.overfull("only", &urgent, NOW).is_some());
+    assert!(matches!(fleet.pick(&urgent, NOW), Err(Refusal::Busy(_))));
+    let patient = Ask {
+        objective: Duration::from_secs(10),
+        ..urgent
+    };
+    assert!(fleet.overfull("only", &patient, NOW).is_none());
+    let late = Ask {
+        objective: Duration::ZERO,
+        ..urgent
+    };
+    assert!(fleet.overfull("only", &late, NOW).is_none());
+}
+
 #[test]
 fn a_server_that_was_tried_is_chosen_last() {
     let mut fleet = fleet();
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -1,5 +1,6 @@
 //! Requests of callers, from the first byte to the last.
 
+use std::collections::HashSet;
 use std::fmt::Write;
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
@@ -36,6 +37,8 @@
 const COME_BACK: Duration = Duration::from_millis(250);
 /// Sends of one request, those that ran nothing among them.
 const MAX_SENDS: u32 = 4;
+/// Waits of one request for a connection, each of the time that the relay grants.
+const MAX_WAITS: u32 = 3;
 /// Part of the time left below which nothing more is sent.
 const LEAST_TIME: Duration = Duration::from_millis(15);
 
@@ -144,11 +147,15 @@
     order: Order,
     key: Option<u16>,
     print: Print,
+    began: Instant,
     until: Instant,
     tried: Vec<String>,
     /// Sends after which the request may have run.
     unknown: u32,
+    /// Backend servers on which it may have run.
+    reached: HashSet<String>,
     sends: u32,
+    waits: u32,
     trace: String,
 }
 
@@ -255,10 +262,13 @@
         service,
         key,
         print,
+        began,
         until,
         tried: Vec::new(),
         unknown: 0,
+        reached: HashSet::new(),
         sends: 0,
+        waits: 0,
         trace: format!(
             " route={} service={service} kind={:?} key={} catalog={}",
             entry.route.name,
@@ -368,6 +378,10 @@
             .map_or(1, |service| service.connections)
     }
 
+    fn attempts(&self) -> usize {
+        usize::try_from(self.route.attempts).unwrap_or(usize::MAX)
+    }
+
     fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
     }
@@ -408,6 +422,7 @@
             service: self.service,
             tried: &self.tried,
             left: self.left(),
+            objective: self.route.objective.saturating_sub(self.began.elapsed()),
             rank: self.route.rank,
             dice: rand::random(),
         }
@@ -481,10 +496,15 @@
     /// Decides what follows a send.
     async fn judge(&mut self, pick: &Pick, outcome: Outcome, key: Option<u16>) -> Next {
         match outcome {
-            Outcome::Answer(answer) => self.judge_answer(answer),
+            Outcome::Answer(answer) => self.judge_answer(pick, answer),
             Outcome::Full => {
                 self.sends -= 1;
-                Next::Again
+                self.waits += 1;
+                if self.waits < MAX_WAITS {
+                    Next::Again
+                } else {
+                    Next::Fail(self.give_up("all connections are in use", COME_BACK))
+                }
             }
             Outcome::NotSent(_) if self.sends < MAX_SENDS => {
                 self.pause(key).await;
@@ -505,10 +525,13 @@
                 let now = state.now();
                 state.poison.borrow_mut().suspect(self.print, &pick.id, now);
                 self.unknown += 1;
+                // What bounds the attempts is the number of backend servers, and a key has one.
+                self.reached.insert(pick.id.clone());
                 let again = self.order.repeatable
-                    && self.unknown < self.route.attempts
+                    && self.reached.len() < self.attempts()
                     && self.may_repeat();
                 if again {
+                    self.pause(key).await;
                     Next::Again
                 } else {
                     let own = Own::new(StatusCode::BAD_GATEWAY, "answer lost");
@@ -519,14 +542,15 @@
     }
 
     /// Passes an answer on, unless another backend server may do better.
-    fn judge_answer(&mut self, answer: Answer) -> Next {
+    fn judge_answer(&mut self, pick: &Pick, answer: Answer) -> Next {
         if answer.status.is_success() {
             self.state.poison.borrow_mut().acquit(self.print);
         }
         if !answer.status.is_server_error() || !self.order.repeatable || self.key.is_some() {
             return Next::Done(answer);
         }
-        if self.unknown + 1 >= self.route.attempts || !self.may_repeat() {
+        self.reached.insert(pick.id.clone());
+        if self.reached.len() >= self.attempts() || !self.may_repeat() {
             return Next::Done(answer);
         }
         self.unknown += 1;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -28,6 +28,9 @@
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Idle time after which a connection is not used again, where its peer names none.
 const IDLE: Duration = Duration::from_secs(4);
+/// Time for which no connection is opened beside those that are open, after a new one was reset:
+/// the peer takes fewer while its queue is long.
+const CROWDED: Duration = Duration::from_millis(500);
 /// Part of the idle time that its peer names for which a connection is used.
 const IDLE_PART: f64 = 0.7;
 
@@ -61,6 +64,7 @@
 struct Peer {
     idle: RefCell<Vec<Idle>>,
     open: Cell<u32>,
+    crowded_until: Cell<Option<Instant>>,
     freed: Notify,
 }
 
@@ -105,7 +109,7 @@
                     reused: true,
                 });
             }
-            if peer.open.get() < need.limit.max(1) {
+            if peer.open.get() < peer.limit(need.limit) {
                 return connect(peer, addr).await;
             }
             // A connection idle for too long makes room for a new one.
@@ -138,6 +142,16 @@
 }
 
 impl Peer {
+    /// Returns how many connections may be open now, of `most`.
+    fn limit(&self, most: u32) -> u32 {
+        let crowded = self.crowded_until.get();
+        if crowded.is_some_and(|until| Instant::now() < until) {
+            1
+        } else {
+            most.max(1)
+        }
+    }
+
     /// Takes the connection that was used last, and closes those idle for too long.
     fn take_idle(&self, idle: Duration) -> Option<SendRequest<Body>> {
         let now = Instant::now();
@@ -241,6 +255,12 @@
         }
     }
 
+    /// Notes that the peer reset the connection as soon as it was there.
+    pub fn crowded(&self) {
+        let until = Instant::now() + CROWDED;
+        self.peer.crowded_until.set(Some(until));
+    }
+
     /// Gives the connection back for other requests, `keep` as its peer allows.
     pub fn give_back(mut self, keep: Option<Duration>) {
         let Some(sender) = self.sender.take() else {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -169,6 +169,9 @@
                 return Outcome::NotSent(text);
             }
             Err((None, text)) => {
+                if !lease.reused {
+                    lease.crowded();
+                }
                 flight.end(Verdict::Failed, None, 0);
                 return Outcome::Unknown(text);
             }
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -40,6 +40,12 @@
 const IDLE: f64 = 0.4;
 /// Transfers for load in one plan, at most.
 const MAX_MOVES: usize = 10;
+/// Use of a server from which a key that fills it is worth a faster one.
+const CROWDED: f64 = 0.8;
+/// How much sooner a key's requests must be expected to run at the faster server.
+const FASTER: f64 = 1.3;
+/// Part of the faster server's own load that still counts: most of it makes room later.
+const STAYS: f64 = 0.4;
 /// Part of a server's fair load that one piece of a leaving server's keys carries at most.
 const PIECE: f64 = 0.34;
 /// Bounds of the load that a moved range carries, as parts of the surplus.
@@ -53,6 +59,7 @@
     }
     let mut draft = Draft::new(plan, scene);
     draft.replace_holders();
+    draft.quicken();
     draft.level();
     draft.finish()
 }
@@ -173,6 +180,60 @@
         });
     }
 
+    /// Gives a key that alone fills its server to a faster one, where one is clearly faster.
+    ///
+    /// Such a key cannot be divided: what its holder runs in a second is all that is served.
+    fn quicken(&mut self) {
+        let mut crowded: Vec<usize> = (0..self.loads.len())
+            .filter(|index| self.use_of(*index) > CROWDED)
+            .collect();
+        crowded.sort_by(|left, right| self.use_of(*right).total_cmp(&self.use_of(*left)));
+        for index in crowded {
+            let Some(range) = self.heaviest(index) else {
+                continue;
+            };
+            let load = self.load(range.from, range.to);
+            let candidates = self.scene.candidates;
+            if load < candidates[index].capacity * CROWDED {
+                continue;
+            }
+            let after = |at: &usize| (load + self.loads[*at] * STAYS) / candidates[*at].capacity;
+            let open = (0..self.loads.len()).filter(|at| self.use_of(*at) <= CROWDED);
+            let best = open.min_by(|left, right| after(left).total_cmp(&after(right)));
+            let Some(best) = best else {
+                return;
+            };
+            if after(&best) * FASTER < load / candidates[index].capacity {
+                self.cut(range, index, best);
+                return;
+            }
+        }
+    }
+
+    /// Finds the key of a server that carries most.
+    fn heaviest(&self, index: usize) -> Option<Range> {
+        let holder = &self.scene.candidates[index].holder;
+        let mut best: Option<(f64, Range)> = None;
+        for (place, segment) in self.segments.iter().enumerate() {
+            let fixed = segment.fence == self.sequence || !(self.scene.movable)(segment);
+            if segment.holder != *holder || fixed {
+                continue;
+            }
+            for key in segment.from..=segment.to {
+                let load = self.load(key, key);
+                if best.is_none_or(|(most, _)| load > most) {
+                    let range = Range {
+                        place,
+                        from: key,
+                        to: key,
+                    };
+                    best = Some((load, range));
+                }
+            }
+        }
+        best.map(|(_, range)| range)
+    }
+
     /// Moves load from the busiest to the least busy servers.
     fn level(&mut self) {
         for _ in 0..MAX_MOVES {
--- /dev/null
+++ b/crates/owner/tests/balance.rs
@@ -0,0 +1,99 @@
+//! Which keys move for load, and where to.
+
+use tarragon_model::time::Instant;
+use tarragon_owner::balance::{self, Candidate, Scene};
+use tarragon_owner::loads::{Loads, Rates};
+use tarragon_owner::plan::{Former, Holder, Plan, Segment};
+
+const WORK_S: f64 = 0.1;
+
+fn holder(id: &str) -> Holder {
+    Holder {
+        id: id.to_owned(),
+        born: 1,
+    }
+}
+
+fn candidate(id: &str, capacity: f64) -> Candidate {
+    Candidate {
+        holder: holder(id),
+        capacity,
+    }
+}
+
+/// Rates with 100 requests a second spread evenly, and `hot` more for one key.
+fn rates(key: u16, hot: f32) -> Rates {
+    let mut loads = Loads::new(Instant::ZERO);
+    for other in (0..=u16::MAX).step_by(64) {
+        loads.add(other, 100.0 * 1.5 * 64.0 / 65_536.0);
+    }
+    loads.add(key, hot * 1.5);
+    loads.rates(Instant::from_millis(60_000))
+}
+
+fn next(plan: &Plan, candidates: &[Candidate], rates: &Rates) -> Option<Plan> {
+    let former = |segment: &Segment| {
+        Some(Former {
+            holder: segment.holder.clone(),
+            fence: segment.fence,
+        })
+    };
+    balance::next(
+        plan,
+        &Scene {
+            candidates,
+            rates,
+            work_s: WORK_S,
+            floor: 1,
+            movable: &|_| true,
+            former: &former,
+        },
+    )
+}
+
+fn dealt(candidates: &[Candidate]) -> Plan {
+    let weights: Vec<_> = candidates
+        .iter()
+        .map(|candidate| (candidate.holder.clone(), 1.0))
+        .collect();
+    Plan::deal(&weights, 1)
+}
+
+#[test]
+fn a_key_that_fills_its_server_goes_to_a_faster_one_and_stays_there() {
+    let candidates = [
+        candidate("slow", 4.0),
+        candidate("fast", 10.0),
+        candidate("other", 6.0),
+    ];
+    let rates = rates(5, 90.0);
+    let mut plan = dealt(&candidates);
+    assert_eq!(plan.find(5).unwrap().holder.id, "slow");
+    for _ in 0..20 {
+        let Some(next) = next(&plan, &candidates, &rates) else {
+            break;
+        };
+        plan = next;
+        assert_eq!(plan.find(5).unwrap().holder.id, "fast");
+    }
+    let moved = plan.find(5).unwrap();
+    assert!(moved.fence <= 2, "it moved once: {moved:?}");
+}
+
+#[test]
+fn a_key_that_fills_its_server_stays_where_no_other_is_clearly_faster() {
+    let candidates = [
+        candidate("first", 6.0),
+        candidate("second", 7.0),
+        candidate("third", 6.5),
+    ];
+    let rates = rates(5, 90.0);
+    let mut plan = dealt(&candidates);
+    for _ in 0..20 {
+        let Some(next) = next(&plan, &candidates, &rates) else {
+            break;
+        };
+        plan = next;
+        assert_eq!(plan.find(5).unwrap().holder.id, "first");
+    }
+}
