Tell hosts of changed entries only, not of every revision

Cause: the granter's beat named the store's revision that its watch had reached. Change: the beat also names the revision of the latest change; who knows it takes the reached revision as its own. A list counts as a change at its own revision, as it does not name what went before. Bytes told to other hosts are counted by kind of frame.

--- a/crates/edge/src/facts.rs
+++ b/crates/edge/src/facts.rs
@@ -40,6 +40,8 @@
     catalog: RefCell<Option<Object>>,
     entries: RefCell<BTreeMap<String, Object>>,
     entries_revision: Cell<Version>,
+    /// Revision of the latest entry that changed or went.
+    changed: Cell<Version>,
     returned: Cell<Option<Instant>>,
     failing: Cell<bool>,
     seen: [Cell<Instant>; 2],
@@ -99,6 +101,20 @@
         (state.catalog_revision(), self.entries_revision.get().0)
     }
 
+    /// Returns the revision of the latest entry that changed or went.
+    ///
+    /// The store's revision rises with every write of anything; whoever knows this one lacks
+    /// nothing.
+    pub fn changed(&self) -> u64 {
+        self.changed.get().0
+    }
+
+    /// Notes that nothing has changed up to a revision.
+    pub fn reach(&self, revision: u64) {
+        let reached = self.entries_revision.get().max(Version(revision));
+        self.entries_revision.set(reached);
+    }
+
     /// Returns the time since the store last confirmed all facts.
     ///
     /// While the store does not answer, nothing counts as confirmed.
@@ -178,7 +194,7 @@
         let newer = self.catalog.borrow().clone();
         let newer = newer.filter(|object| object.version.0 > catalog);
         let revision = self.entries_revision.get();
-        let list = (revision.0 > entries).then(|| List {
+        let list = (self.changed() > entries).then(|| List {
             revision,
             items: self.entries.borrow().values().cloned().collect(),
         });
@@ -231,6 +247,7 @@
         if known.is_some_and(|known| known.version >= object.version) {
             return;
         }
+        self.changed.set(self.changed.get().max(object.version));
         self.news.borrow_mut().entries.push(object.clone());
         entries.insert(object.name.clone(), object);
     }
@@ -238,6 +255,7 @@
     /// Notes that an entry is gone.
     fn lose(&self, state: &State, id: &str, revision: u64, lapse: bool) {
         if self.entries.borrow_mut().remove(id).is_some() {
+            self.changed.set(self.changed.get().max(Version(revision)));
             self.news.borrow_mut().gone.push(Gone {
                 id: id.to_owned(),
                 revision,
@@ -265,6 +283,8 @@
             self.lose(state, &name, list.revision.0, lapse);
         }
         self.entries_revision.set(list.revision);
+        // What went before the list is not in it: who knows less than the list may know too much.
+        self.changed.set(self.changed.get().max(list.revision));
         for object in list.items {
             self.take_entry(state, object);
         }
--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -110,7 +110,7 @@
     let state = Rc::new(State::new(settings, platform, incarnation));
     let facts = Rc::new(Facts::default());
     let (events, heard) = mpsc::channel(EVENTS);
-    let links = Links::new(&state.settings.host, incarnation, events);
+    let links = Links::new(state.clone(), events);
     tokio::task::spawn_local(facts::follow(state.clone(), facts.clone(), api.clone()));
     tokio::task::spawn_local(links.clone().serve(control));
     tokio::task::spawn_local(office::run(state.clone(), facts, links, api, heard));
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,6 +15,7 @@
     orders: Counter<u64>,
     store: Counter<u64>,
     beliefs: Counter<u64>,
+    told: Counter<u64>,
 }
 
 impl Default for Metrics {
@@ -48,6 +49,10 @@
             orders: meter.u64_counter("tarragon.edge.orders").build(),
             store: meter.u64_counter("tarragon.edge.store_calls").build(),
             beliefs: meter.u64_counter("tarragon.edge.beliefs").build(),
+            told: meter
+                .u64_counter("tarragon.edge.told")
+                .with_unit("By")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -82,6 +87,12 @@
         self.beliefs.add(1, &[KeyValue::new("about", about)]);
     }
 
+    /// Counts the bytes of a frame that is sent to another host.
+    pub fn told(&self, frame: &'static str, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.told.add(bytes, &[KeyValue::new("frame", frame)]);
+    }
+
     /// Returns all metrics in the text format that scrapers read.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
--- a/crates/edge/src/office.rs
+++ b/crates/edge/src/office.rs
@@ -437,6 +437,7 @@
         facts_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
         catalog,
         entries,
+        changed: facts.changed(),
     }
 }
 
--- a/crates/edge/src/office/links.rs
+++ b/crates/edge/src/office/links.rs
@@ -75,10 +75,11 @@
                 facts_age_ms,
                 catalog,
                 entries,
+                changed,
             } => {
                 self.strongest = strongest;
                 self.beat(link, (office, sent_us), hosts, facts_age_ms);
-                self.compare(link, facts_age_ms, (catalog, entries));
+                self.compare(link, facts_age_ms, (catalog, entries, changed));
             }
             Frame::KeysPatch { service, patch } => {
                 if !self.state.learn_patch(&service, &patch) {
@@ -168,13 +169,15 @@
     }
 
     /// Spares this host the store's calls while the granter's facts are fresh and known here.
-    pub(super) fn compare(&mut self, link: u64, age_ms: u64, granter: (u64, u64)) {
+    pub(super) fn compare(&mut self, link: u64, age_ms: u64, granter: (u64, u64, u64)) {
         if !matches!(&self.role, Role::Following(followed) if followed.link == link) {
             return;
         }
         let own = self.facts.reached(&self.state);
-        if own.0 >= granter.0 && own.1 >= granter.1 {
+        let (catalog, entries, changed) = granter;
+        if own.0 >= catalog && own.1 >= changed {
             let now = self.state.now();
+            self.facts.reach(entries);
             self.facts.relayed(Duration::from_millis(age_ms), now);
         } else {
             let (catalog, entries) = own;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -21,6 +21,7 @@
 use crate::facts::News;
 use crate::keys::{Map, Patch};
 use crate::pool;
+use crate::state::State;
 
 /// Frames that wait for a link at most; more are dropped, as later ones tell the same anew.
 const WAITING: usize = 64;
@@ -53,6 +54,8 @@
         catalog: u64,
         /// Revision up to which it knows the backend servers.
         entries: u64,
+        /// Revision of the latest change of a backend server's entry.
+        changed: u64,
     },
     /// Another process has taken the granter's office; who grants is to stop.
     Office {
@@ -147,8 +150,29 @@
     },
 }
 
+impl Frame {
+    /// Names the kind of the frame for metrics.
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Beat { .. } => "beat",
+            Self::Office { .. } => "office",
+            Self::Yielded { .. } => "yielded",
+            Self::Keys { .. } => "keys",
+            Self::KeysPatch { .. } => "keys-patch",
+            Self::AskKeys => "ask-keys",
+            Self::Report { .. } => "report",
+            Self::Crashes { .. } => "crashes",
+            Self::Ask { .. } => "ask",
+            Self::News(_) => "news",
+            Self::Facts { .. } => "facts",
+        }
+    }
+}
+
 /// Links of one host.
 pub struct Links {
+    state: Rc<State>,
     me: Frame,
     senders: RefCell<HashMap<u64, Sender<Message>>>,
     events: Sender<Event>,
@@ -158,12 +182,13 @@
 impl Links {
     /// Creates no links yet; events of those to come go to `events`.
     #[must_use]
-    pub fn new(host: &str, incarnation: u64, events: Sender<Event>) -> Rc<Self> {
+    pub fn new(state: Rc<State>, events: Sender<Event>) -> Rc<Self> {
         Rc::new(Self {
             me: Frame::Hello {
-                host: host.to_owned(),
-                incarnation,
+                host: state.settings.host.clone(),
+                incarnation: state.incarnation,
             },
+            state,
             senders: RefCell::default(),
             events,
             next: Cell::new(1),
@@ -205,7 +230,7 @@
     /// Sends a frame on a link; it is dropped when the link is down or does not keep up.
     pub fn send(&self, link: u64, frame: &Frame) {
         if let Some(message) = encode(frame) {
-            self.push(link, message);
+            self.push(link, frame.name(), message);
         }
     }
 
@@ -216,7 +241,7 @@
         };
         let all: Vec<u64> = self.senders.borrow().keys().copied().collect();
         for link in all {
-            self.push(link, message.clone());
+            self.push(link, frame.name(), message.clone());
         }
     }
 
@@ -225,11 +250,19 @@
         self.senders.borrow_mut().remove(&link);
     }
 
-    fn push(&self, link: u64, message: Message) {
-        if let Some(sender) = self.senders.borrow().get(&link)
-            && sender.try_send(message).is_err()
-        {
-            log::debug!("event=frame-dropped link={link}");
+    fn push(&self, link: u64, name: &'static str, message: Message) {
+        let bytes = message.len();
+        let Some(sent) = self
+            .senders
+            .borrow()
+            .get(&link)
+            .map(|sender| sender.try_send(message))
+        else {
+            return;
+        };
+        match sent {
+            Ok(()) => self.state.metrics.told(name, bytes),
+            Err(_) => log::debug!("event=frame-dropped link={link} frame={name}"),
         }
     }
 
--- /dev/null
+++ b/crates/edge/tests/common/mod.rs
@@ -0,0 +1,135 @@
+//! A platform of the plainest spelling, and objects as its store has them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, Method};
+use serde_json::{Value, json};
+use tarragon_dispatch::budget;
+use tarragon_dispatch::catalog::Catalog;
+use tarragon_dispatch::fleet::{Entry, Load};
+use tarragon_edge::platform::{Headers, Platform};
+use tarragon_edge::settings::{Bounds, Settings};
+use tarragon_edge::state::State;
+use tarragon_owner::granter::Order;
+use tarragon_store::dialect::{Call, Dialect, Native};
+use tarragon_store::object::{Key, List, Object, Version};
+
+/// Platform whose entries and catalog are plain objects.
+pub struct Plain(Headers);
+
+impl Plain {
+    pub fn new() -> Self {
+        let name = HeaderName::from_static;
+        Self(Headers {
+            request: name("x-request"),
+            deadline: name("x-deadline"),
+            expect: name("x-expect"),
+            not_run: name("x-not-run"),
+            receipt: name("x-receipt"),
+            load: name("x-load"),
+            key: name("x-key"),
+            handover: name("x-handover"),
+        })
+    }
+}
+
+impl Platform for Plain {
+    fn headers(&self) -> &Headers {
+        &self.0
+    }
+
+    fn dialect(&self) -> Box<dyn Dialect> {
+        Box::new(Native)
+    }
+
+    fn catalog_key(&self) -> Key<'static> {
+        Key::new("catalogs", "main")
+    }
+
+    fn entries_kind(&self) -> &'static str {
+        "entries"
+    }
+
+    fn catalog(&self, value: &Value) -> Result<Catalog, String> {
+        let version = value["version"].as_u64().ok_or("no version")?;
+        Ok(Catalog {
+            version,
+            ..Catalog::default()
+        })
+    }
+
+    fn entry(&self, id: &str, value: &Value) -> Result<Entry, String> {
+        let born = value["born"].as_u64().ok_or("no birth")?;
+        Ok(Entry {
+            id: id.to_owned(),
+            born,
+            service: "s".to_owned(),
+            addr: "127.0.0.1:9".parse().map_err(|_| "no address")?,
+            zone: "z".to_owned(),
+            slots: 6,
+            draining: false,
+            cold: Duration::ZERO,
+        })
+    }
+
+    fn order(&self, order: &Order, hold_ms: u128) -> Call {
+        let body = json!({ "from": order.from, "to": order.to, "hold": hold_ms.to_string() });
+        Call {
+            method: Method::POST,
+            path: "/order".to_owned(),
+            body: Bytes::from(body.to_string()),
+        }
+    }
+
+    fn load(&self, _text: &str) -> Option<Load> {
+        None
+    }
+}
+
+/// State of a host that knows nothing yet.
+pub fn state() -> State {
+    let local = || "127.0.0.1:0".parse().unwrap();
+    let settings = Settings {
+        host: "host".to_owned(),
+        zone: "z".to_owned(),
+        regions: HashMap::new(),
+        cores: 0.2,
+        callers: local(),
+        ready: local(),
+        control: local(),
+        metrics: None,
+        seeds: Vec::new(),
+        store: local(),
+        bounds: Bounds {
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(6),
+            hold: Duration::from_secs(10),
+            repeats: budget::Bound {
+                ratio: 0.2,
+                slack: 10.0,
+                window: Duration::from_secs(10),
+            },
+        },
+    };
+    State::new(settings, Box::new(Plain::new()), 1)
+}
+
+/// Entry of a backend server, last changed at a revision.
+pub fn entry(id: &str, revision: u64) -> Object {
+    Object {
+        kind: "entries".to_owned(),
+        name: id.to_owned(),
+        version: Version(revision),
+        value: json!({ "born": 1 }),
+    }
+}
+
+/// List of entries at a revision.
+pub fn list(revision: u64, items: &[Object]) -> List {
+    List {
+        revision: Version(revision),
+        items: items.to_vec(),
+    }
+}
