Keep large answers in the region, and use connections that are open

Cause: bytes between regions and new connections were the dearest prices of the grown sites. Change: only servers of the region are tried for their own sake; the size is the mean of what was seen; a route for downloads counts as large from the first one; a server to which a connection must be opened counts a fifth slower. event=server names service and zone. Tests: dispatch fleet, four new ones.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -94,6 +94,8 @@
     pub objective: Duration,
     /// Rank of its route, 0 the highest.
     pub rank: u32,
+    /// Whether its answer is known to be large.
+    pub large: bool,
     /// Number between 0 and 1 that spreads equal choices.
     pub dice: f64,
 }
@@ -144,7 +146,7 @@
 const RANK_STEP: f64 = 0.1;
 /// Ranks that differ in [`RANK_STEP`].
 const RANKS: u32 = 4;
-/// Part of the choices that go to a backend server which was never tried.
+/// Part of the choices that go to a backend server of the region which was never tried.
 const EXPLORE: f64 = 0.1;
 /// Part of the time that a leaving backend server may be reached in which requests are sent; the
 /// rest is for the way of the news to a slow host, and of a request from there to the server.
@@ -153,6 +155,8 @@
 const AGAIN: f64 = 4.0;
 /// How much slower a backend server counts whose entry is missing.
 const MISSING: f64 = 50.0;
+/// How much slower a backend server counts to which a connection must be opened.
+const CONNECT: f64 = 1.2;
 /// Spread of the noise that keeps hosts from choosing alike.
 const NOISE: f64 = 0.15;
 
@@ -319,12 +323,18 @@
 
     /// Chooses the backend server that is expected to end the request first.
     ///
-    /// Far ones count as slower by what their answer's bytes cost on the way.
+    /// Far ones count as slower by what their answer's bytes cost on the way. `open` tells to which
+    /// servers a connection is open that would else idle.
     ///
     /// # Errors
     ///
     /// Why none was chosen; the request has not been sent then.
-    pub fn pick(&self, ask: &Ask<'_>, now: Instant) -> Result<Pick, Refusal> {
+    pub fn pick(
+        &self,
+        ask: &Ask<'_>,
+        open: &dyn Fn(&str) -> bool,
+        now: Instant,
+    ) -> Result<Pick, Refusal> {
         let norm = self.services.get(ask.service).copied().unwrap_or_default();
         let mut best: Option<(f64, f64, &Server)> = None;
         for server in self.servers.values() {
@@ -335,7 +345,9 @@
                 continue;
             }
             let untried = !ask.tried.contains(&server.entry.id);
-            if untried && server.belief.fresh() && ask.dice < EXPLORE {
+            let distance = self.distance(&server.entry.zone);
+            let near = distance != belief::Distance::Far;
+            if untried && near && server.belief.fresh() && ask.dice < EXPLORE {
                 return Ok(server.pick());
             }
             let finish = server.belief.finish(&norm, server.entry.slots, now);
@@ -346,8 +358,9 @@
                 1.0
             };
             let noise = 1.0 + NOISE * spread(ask.dice, &server.entry.id);
-            let cost =
-                (finish + norm.far(self.distance(&server.entry.zone))) * again * missing * noise;
+            let connect = if open(&server.entry.id) { 1.0 } else { CONNECT };
+            let far = norm.far(distance, ask.large);
+            let cost = (finish * connect + far) * again * missing * noise;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, finish, server));
             }
--- a/crates/dispatch/src/fleet/belief.rs
+++ b/crates/dispatch/src/fleet/belief.rs
@@ -48,6 +48,8 @@
     pub work_ms: f64,
     /// Size of an answer, in bytes.
     pub bytes: f64,
+    /// Answers seen, as far as they matter.
+    samples: f64,
 }
 
 impl Default for Norm {
@@ -55,6 +57,7 @@
         Self {
             work_ms: 50.0,
             bytes: 1_000.0,
+            samples: 0.0,
         }
     }
 }
@@ -78,13 +81,20 @@
 const FAR_MS_PER_KB: f64 = 12.0;
 /// Delay that a kilobyte from another failure domain is worth avoiding, in milliseconds.
 const REGION_MS_PER_KB: f64 = 1.5;
+/// Size from which an answer counts as large, in bytes.
+const LARGE_BYTES: f64 = 50_000.0;
 /// Longest delay that bytes are worth avoiding, in milliseconds.
 const MAX_FAR_MS: f64 = 1_000.0;
 
 impl Norm {
     /// Returns what the distance counts, in milliseconds.
-    pub(super) fn far(&self, distance: Distance) -> f64 {
-        let kilobytes = self.bytes / 1_000.0;
+    pub(super) fn far(&self, distance: Distance, large: bool) -> f64 {
+        let bytes = if large {
+            self.bytes.max(LARGE_BYTES)
+        } else {
+            self.bytes
+        };
+        let kilobytes = bytes / 1_000.0;
         match distance {
             Distance::Zone => 0.0,
             Distance::Region => REGION_MS + (kilobytes * REGION_MS_PER_KB).min(MAX_FAR_MS / 8.0),
@@ -95,10 +105,10 @@
 
 /// Weight of the newest sample in a server's averages.
 const SERVER_GAIN: f64 = 0.1;
-/// Weight of the newest sample in a service's averages.
-const NORM_GAIN: f64 = 0.01;
-/// Samples after which a service's averages settle.
-const NORM_SAMPLES_GAIN: f64 = 0.1;
+/// Answers that a service's averages are taken over.
+const NORM_SAMPLES: f64 = 100.0;
+/// Answers that the assumed time of a request weighs: the first ones may have waited.
+const ASSUMED_SAMPLES: f64 = 9.0;
 /// Weight of the newest sample in the part of failures.
 const FAIL_GAIN: f64 = 0.15;
 /// Bounds of how much slower than the mean a server may count.
@@ -182,16 +192,16 @@
     fn served(&mut self, seen: Seen, norm: &mut Norm, slots: u32, now: Instant) {
         self.unreachable = 0;
         self.failing -= FAIL_GAIN * self.failing;
-        let first = norm.work_ms <= Norm::default().work_ms && norm.bytes <= 1_000.0;
-        let gain = if first { NORM_SAMPLES_GAIN } else { NORM_GAIN };
-        norm.bytes +=
-            gain * (f64::from(u32::try_from(seen.bytes).unwrap_or(u32::MAX)) - norm.bytes);
+        norm.samples = (norm.samples + 1.0).min(NORM_SAMPLES);
+        norm.bytes += norm.samples.recip()
+            * (f64::from(u32::try_from(seen.bytes).unwrap_or(u32::MAX)) - norm.bytes);
         // Waiting for a slot is the load's doing and not the server's.
         let crowd = (self.load(now) + 1.0) / f64::from(slots.max(1));
         let elapsed = seen.elapsed.as_secs_f64() * 1_000.0 / crowd.max(1.0);
         if now >= self.cold_until {
             self.sample.count += 1;
             self.sample.sum_ms += elapsed;
+            let gain = (norm.samples + ASSUMED_SAMPLES).min(NORM_SAMPLES).recip();
             norm.work_ms += gain * (elapsed / self.slowness.max(0.5) - norm.work_ms);
             let ratio = (elapsed / norm.work_ms.max(0.1)).clamp(SLOWNESS.0, SLOWNESS.1);
             self.slowness += SERVER_GAIN * (ratio - self.slowness);
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -40,6 +40,7 @@
         left: Duration::from_secs(1),
         objective: Duration::from_millis(500),
         rank: 1,
+        large: false,
         dice: 0.5,
     }
 }
@@ -63,7 +64,65 @@
     for id in ["far", "near"] {
         served(&mut fleet, id, 50, None);
     }
-    assert_eq!(fleet.pick(&ask(&[]), NOW).unwrap().id, "near");
+    assert_eq!(fleet.pick(&ask(&[]), &|_| true, NOW).unwrap().id, "near");
+}
+
+#[test]
+fn an_open_connection_decides_between_equal_servers() {
+    let mut fleet = fleet();
+    for id in ["x", "y", "z"] {
+        fleet.learn(entry(id, "a1"), 1, NOW);
+        served(&mut fleet, id, 60, None);
+    }
+    for open in ["x", "y", "z"] {
+        let picked = fleet.pick(&ask(&[]), &|id| id == open, NOW);
+        assert_eq!(picked.unwrap().id, open);
+    }
+}
+
+#[test]
+fn a_far_server_is_not_tried_for_its_own_sake() {
+    let mut fleet = fleet();
+    fleet.learn(entry("near", "a1"), 1, NOW);
+    fleet.learn(entry("far", "b1"), 1, NOW);
+    served(&mut fleet, "near", 60, None);
+    for dice in [0.0, 0.05, 0.5, 0.99] {
+        let ask = Ask { dice, ..ask(&[]) };
+        let picked = fleet.pick(&ask, &|_| true, NOW);
+        assert_eq!(picked.unwrap().id, "near");
+    }
+}
+
+#[test]
+fn the_first_answers_tell_what_distance_costs() {
+    let mut fleet = fleet();
+    fleet.learn(entry("near", "a1"), 1, NOW);
+    fleet.learn(entry("far", "b1"), 1, NOW);
+    let busy = Load {
+        running: 6,
+        waiting: 12,
+    };
+    served(&mut fleet, "far", 60, None);
+    served(&mut fleet, "near", 60, Some(busy));
+    let picked = fleet.pick(&ask(&[]), &|_| true, NOW);
+    assert_eq!(picked.unwrap().id, "near", "a large answer waits rather");
+}
+
+#[test]
+fn an_answer_known_to_be_large_stays_in_the_region_from_the_first_on() {
+    let mut fleet = fleet();
+    fleet.learn(entry("near", "a1"), 1, NOW);
+    fleet.learn(entry("far", "b1"), 1, NOW);
+    for _ in 0..8 {
+        fleet.sent("near");
+    }
+    let small = ask(&[]);
+    assert_eq!(fleet.pick(&small, &|_| true, NOW).unwrap().id, "far");
+    let large = Ask {
+        large: true,
+        ..small
+    };
+    assert_eq!(fleet.pick(&large, &|_| true, NOW).unwrap().id, "near");
 }
 
 #[test]
@@ -77,7 +136,7 @@
         waiting: 20,
     };
     served(&mut fleet, "full", 50, Some(load));
-    assert_eq!(fleet.pick(&ask(&[]), NOW).unwrap().id, "idle");
+    assert_eq!(fleet.pick(&ask(&[]), &|_| true, NOW).unwrap().id, "idle");
 }
 
 #[test]
@@ -89,7 +148,7 @@
         waiting: 200,
     };
     served(&mut fleet, "only", 60, Some(load));
-    let Err(Refusal::Busy(after)) = fleet.pick(&ask(&[]), NOW) else {
+    let Err(Refusal::Busy(after)) = fleet.pick(&ask(&[]), &|_| true, NOW) else {
         panic!("taken on");
     };
     assert!(after >= Duration::from_millis(100));
@@ -110,7 +169,10 @@
         ..ask(&[])
     };
     assert!(fleet.overfull("only", &urgent, NOW).is_some());
-    assert!(matches!(fleet.pick(&urgent, NOW), Err(Refusal::Busy(_))));
+    assert!(matches!(
+        fleet.pick(&urgent, &|_| true, NOW),
+        Err(Refusal::Busy(_))
+    ));
     let patient = Ask {
         objective: Duration::from_secs(10),
         ..urgent
@@ -132,7 +194,7 @@
         served(&mut fleet, id, 50, None);
     }
     let tried = ["x".to_owned()];
-    assert_eq!(fleet.pick(&ask(&tried), NOW).unwrap().id, "y");
+    assert_eq!(fleet.pick(&ask(&tried), &|_| true, NOW).unwrap().id, "y");
 }
 
 #[test]
@@ -147,9 +209,9 @@
         verdict: Verdict::Unreachable,
     };
     fleet.ended("x", seen, NOW);
-    assert_eq!(fleet.pick(&ask(&[]), NOW), Err(Refusal::Nobody));
+    assert_eq!(fleet.pick(&ask(&[]), &|_| true, NOW), Err(Refusal::Nobody));
     let later = NOW + Duration::from_millis(250);
-    assert!(fleet.pick(&ask(&[]), later).is_ok());
+    assert!(fleet.pick(&ask(&[]), &|_| true, later).is_ok());
 }
 
 #[test]
@@ -159,7 +221,7 @@
     let mut leaving = entry("x", "a1");
     leaving.draining = true;
     assert_eq!(fleet.learn(leaving, 2, NOW), Change::Standing);
-    assert_eq!(fleet.pick(&ask(&[]), NOW), Err(Refusal::Nobody));
+    assert_eq!(fleet.pick(&ask(&[]), &|_| true, NOW), Err(Refusal::Nobody));
     let drain = Duration::from_secs(3);
     let server = fleet.get("x").unwrap();
     assert!(server.takes(drain, NOW + Duration::from_secs(1)));
@@ -201,7 +263,7 @@
     fleet.learn(entry("x", "a1"), 1, NOW);
     fleet.learn(entry("y", "b1"), 2, NOW);
     fleet.forget("x", 5, true, NOW);
-    assert_eq!(fleet.pick(&ask(&[]), NOW).unwrap().id, "y");
+    assert_eq!(fleet.pick(&ask(&[]), &|_| true, NOW).unwrap().id, "y");
     let drain = Duration::from_secs(2);
     let takes = |ms| {
         let server = fleet.get("x").unwrap();
@@ -264,7 +326,7 @@
         }
         let open = states.iter().any(|(state, ..)| *state == 0);
         let ask = Ask { dice, ..ask(&[]) };
-        match fleet.pick(&ask, NOW) {
+        match fleet.pick(&ask, &|_| true, NOW) {
             Ok(pick) => {
                 let index: usize = pick.id[1..].parse().unwrap();
                 prop_assert_eq!(states[index].0, 0);
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -14,7 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tarragon_dispatch::catalog::Route;
+use tarragon_dispatch::catalog::{Kind, Route};
 use tarragon_dispatch::fleet::{Ask, Pick, Refusal};
 use tarragon_dispatch::poison::Print;
 use tarragon_dispatch::table;
@@ -410,7 +410,9 @@
     fn choose(&self) -> Result<Pick, Own> {
         let state = self.state;
         let fleet = state.fleet.borrow();
-        let picked = fleet.pick(&self.ask(), state.now());
+        let idle = self.order.idle();
+        let open = |id: &str| state.pool.is_open(id, idle);
+        let picked = fleet.pick(&self.ask(), &open, state.now());
         picked.map_err(|refusal| match refusal {
             Refusal::Nobody => self.give_up("no backend server", COME_BACK),
             Refusal::Busy(after) => self.give_up("all backend servers are full", after),
@@ -424,6 +426,7 @@
             left: self.left(),
             objective: self.route.objective.saturating_sub(self.began.elapsed()),
             rank: self.route.rank,
+            large: self.route.kind == Kind::Download,
             dice: rand::random(),
         }
     }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -74,6 +74,12 @@
     until: Instant,
 }
 
+impl Idle {
+    fn usable(&self, idle: Duration, now: Instant) -> bool {
+        now < self.until && self.sender.is_ready() && now - self.since <= idle
+    }
+}
+
 /// Connection that one request has for itself.
 pub struct Lease {
     sender: Option<SendRequest<Body>>,
@@ -121,6 +127,16 @@
         }
     }
 
+    /// Tells whether a connection to the backend server `id` idles that may be used.
+    pub fn is_open(&self, id: &str, idle: Duration) -> bool {
+        let peers = self.peers.borrow();
+        let now = Instant::now();
+        peers.get(id).is_some_and(|peer| {
+            let all = peer.idle.borrow();
+            all.iter().any(|entry| entry.usable(idle, now))
+        })
+    }
+
     /// Closes the idle connections to a backend server that started anew.
     pub fn forget(&self, id: &str) {
         if let Some(peer) = self.peers.borrow().get(id) {
@@ -157,9 +173,7 @@
         let now = Instant::now();
         let mut all = self.idle.borrow_mut();
         all.retain(|entry| now < entry.until && !entry.sender.is_closed());
-        let place = all
-            .iter()
-            .rposition(|entry| entry.sender.is_ready() && now - entry.since <= idle);
+        let place = all.iter().rposition(|entry| entry.usable(idle, now));
         place.map(|place| all.remove(place).sender)
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -143,11 +143,7 @@
     };
     let need = Need {
         limit: limit(connections, state.hosts.get()),
-        idle: if order.repeatable {
-            ANY_IDLE
-        } else {
-            UNSURE_IDLE
-        },
+        idle: order.idle(),
         until: until.min(Instant::now() + CONNECTION_WAIT),
     };
     let mut request = order.request(state.platform.headers(), pick, until);
@@ -192,6 +188,16 @@
 }
 
 impl Order {
+    /// Returns how long a connection may have been idle to carry the request.
+    #[must_use]
+    pub const fn idle(&self) -> Duration {
+        if self.repeatable {
+            ANY_IDLE
+        } else {
+            UNSURE_IDLE
+        }
+    }
+
     fn request(&self, names: &Headers, pick: &Pick, until: Instant) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -146,13 +146,14 @@
     pub fn learn(&self, entry: Entry, revision: u64) {
         let now = self.now();
         let (id, draining, born) = (entry.id.clone(), entry.draining, entry.born);
+        let (service, zone) = (entry.service.clone(), entry.zone.clone());
         let change = self.fleet.borrow_mut().learn(entry, revision, now);
         if change == Change::None {
             return;
         }
         self.metrics.believed("server");
         log::info!(
-            "event=server id={id} change={change:?} draining={draining} born={born} revision={revision}"
+            "event=server id={id} change={change:?} service={service} zone={zone} draining={draining} born={born} revision={revision}"
         );
         if change == Change::Reborn {
             self.pool.forget(&id);
