Let hosts that watch by themselves do so slower

Cause: while the granter is turned away by the store each other host watches it in rounds of 0.7 s, and pauses a second at most where it fails: with 79 hosts that is over 200 calls a second. Change: such hosts watch in rounds of 1.6 s, and the longest pause grows with the hosts, up to four times; the granter keeps its times.

--- a/crates/edge/src/facts.rs
+++ b/crates/edge/src/facts.rs
@@ -21,6 +21,11 @@
 
 /// Time that a watch waits for changes; a watch that went silent shows after it.
 const WATCH: Duration = Duration::from_millis(700);
+/// The same for a host that is not the granter: many do it at once, while the granter is cut off.
+const OWN_WATCH: Duration = Duration::from_millis(1_600);
+/// Hosts for which the longest pause after failed calls is as given; with more it is longer, as
+/// each of them tells the others when the store answers again.
+const HOSTS_A_PAUSE: u32 = 16;
 /// Age up to which the facts of the granter spare a host its own calls.
 const FRESH: Duration = Duration::from_millis(1_200);
 /// Time between two catalogs that other hosts are told.
@@ -49,6 +54,8 @@
     failing: Cell<bool>,
     seen: [Cell<Instant>; 2],
     relayed_until: Cell<Instant>,
+    /// Whether this host is the granter, on whose facts others live.
+    leads: Cell<bool>,
     news: RefCell<News>,
     /// The catalog as other hosts were told it, and when.
     told: RefCell<(Option<Object>, Instant)>,
@@ -128,9 +135,28 @@
 
     /// Makes this host ask the store itself from now on: it is the granter.
     pub fn lead(&self) {
+        self.leads.set(true);
         self.relayed_until.set(Instant::ZERO);
     }
 
+    /// Notes that another host is the granter, or nobody.
+    pub fn follow_others(&self) {
+        self.leads.set(false);
+    }
+
+    fn watch_time(&self) -> Duration {
+        if self.leads.get() { WATCH } else { OWN_WATCH }
+    }
+
+    /// Returns the longest pause after calls that failed.
+    fn last_pause(&self, hosts: u32) -> Duration {
+        if self.leads.get() {
+            LAST_PAUSE
+        } else {
+            LAST_PAUSE * (hosts / HOSTS_A_PAUSE).clamp(1, 4)
+        }
+    }
+
     /// Notes that the granter's facts, which are as old as `age`, are known here.
     pub fn relayed(&self, age: Duration, now: Instant) {
         for seen in &self.seen {
@@ -310,7 +336,7 @@
         let now = state.now();
         let seen = &self.seen[subject as usize];
         let first = seen.get() == Instant::ZERO;
-        if !first && now.since(seen.get()) > AWAY + WATCH {
+        if !first && now.since(seen.get()) > AWAY + self.watch_time() {
             self.returned.set(Some(now));
         }
         if self.failing.replace(false) {
@@ -385,7 +411,7 @@
                 facts.failed(state, subject, &error);
                 let jitter = rand::random::<f64>() * 0.5 + 0.75;
                 tokio::time::sleep(pause.mul_f64(jitter)).await;
-                pause = (pause * 2).min(LAST_PAUSE);
+                pause = (pause * 2).min(facts.last_pause(state.hosts.get()));
             }
         }
     }
@@ -424,7 +450,9 @@
     kind: &str,
     after: Version,
 ) -> Result<Version, Error> {
-    let changes = api.watch(kind, after, WATCH, &state.stop).await?;
+    let changes = api
+        .watch(kind, after, facts.watch_time(), &state.stop)
+        .await?;
     facts.note_lag(state);
     facts.answered(state, subject);
     for change in changes.changes {
--- a/crates/edge/src/office/links.rs
+++ b/crates/edge/src/office/links.rs
@@ -216,6 +216,7 @@
 
     pub(super) fn depose(&mut self, reason: &str) {
         log::warn!("event=granter-deposed reason=\"{reason}\"");
+        self.facts.follow_others();
         self.role = Role::Seeking;
         self.seen = self.state.now();
     }
--- a/crates/edge/src/office/store.rs
+++ b/crates/edge/src/office/store.rs
@@ -233,6 +233,7 @@
         };
         let expected = grants.version;
         let former = grants.former.iter().map(|f| f.process.clone()).collect();
+        self.facts.follow_others();
         self.role = Role::Seeking;
         let record = own_record(&self.state, true, Vec::new(), former);
         let writer = Writer::new(&*self.api);
