Tell a host what it lacks, and ask one host at a time

A host that lagged asked with each beat, also while an answer was on its way over a narrow link, and hosts that the store turned away asked every host they knew; each answered with all it had. Test: edge facts, a host that lags.

--- a/crates/edge/src/facts.rs
+++ b/crates/edge/src/facts.rs
@@ -5,7 +5,7 @@
 //! for a while, watches by itself.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
 /// Hosts for which the longest pause after failed calls is as given; with more it is longer, as
 /// each of them tells the others when the store answers again.
 const HOSTS_A_PAUSE: u32 = 16;
+/// Entries that went and are remembered for hosts that lack the news.
+const GONE: usize = 1_024;
 /// Age up to which the facts of the granter spare a host its own calls.
 const FRESH: Duration = Duration::from_millis(1_200);
 /// Time between two catalogs that other hosts are told.
@@ -54,6 +56,8 @@
     failing: Cell<bool>,
     seen: [Cell<Instant>; 2],
     relayed_until: Cell<Instant>,
+    /// Entries that went, the latest last, without a gap since the revision beside it.
+    gone: RefCell<(Version, VecDeque<Gone>)>,
     /// Whether this host is the granter, on whose facts others live.
     leads: Cell<bool>,
     news: RefCell<News>,
@@ -87,6 +91,15 @@
     pub lapse: bool,
 }
 
+/// What a host lacks of the entries.
+#[derive(Clone, Debug)]
+pub enum Later {
+    /// What changed.
+    News(News),
+    /// All of them: what changed is not remembered far enough back.
+    All(List),
+}
+
 impl News {
     fn is_empty(&self) -> bool {
         self.entries.is_empty() && self.gone.is_empty() && self.catalog.is_none()
@@ -223,16 +236,35 @@
         whole
     }
 
-    /// Returns what is later than the given revisions.
-    pub fn later(&self, catalog: u64, entries: u64) -> (Option<Object>, Option<List>) {
-        let newer = self.catalog.borrow().clone();
-        let newer = newer.filter(|object| object.version.0 > catalog);
-        let revision = self.entries_revision.get();
-        let list = (self.changed() > entries).then(|| List {
-            revision,
-            items: self.entries.borrow().values().cloned().collect(),
-        });
-        (newer, list)
+    /// Returns the catalog if it is later than the given revision.
+    pub fn later_catalog(&self, revision: u64) -> Option<Object> {
+        let catalog = self.catalog.borrow().clone();
+        catalog.filter(|object| object.version.0 > revision)
+    }
+
+    /// Returns what leads from a revision of the entries to the present one, if anything changed.
+    pub fn later_entries(&self, revision: u64) -> Option<Later> {
+        if self.changed() <= revision {
+            return None;
+        }
+        let (since, reached) = (Version(revision), self.entries_revision.get());
+        let known = self.entries.borrow();
+        let gone = self.gone.borrow();
+        if since < gone.0 {
+            return Some(Later::All(List {
+                revision: reached,
+                items: known.values().cloned().collect(),
+            }));
+        }
+        let newer = known.values().filter(|object| object.version > since);
+        let lost = gone.1.iter().filter(|gone| gone.revision > revision);
+        Some(Later::News(News {
+            since,
+            revision: reached,
+            entries: newer.cloned().collect(),
+            gone: lost.cloned().collect(),
+            catalog: None,
+        }))
     }
 
     /// Takes in what another host was told by the store.
@@ -290,15 +322,27 @@
     fn lose(&self, state: &State, id: &str, revision: u64, lapse: bool) {
         if self.entries.borrow_mut().remove(id).is_some() {
             self.changed.set(self.changed.get().max(Version(revision)));
-            self.news.borrow_mut().gone.push(Gone {
+            let gone = Gone {
                 id: id.to_owned(),
                 revision,
                 lapse,
-            });
+            };
+            self.remember(gone.clone());
+            self.news.borrow_mut().gone.push(gone);
         }
         state.forget(id, revision, lapse);
     }
 
+    fn remember(&self, gone: Gone) {
+        let mut memory = self.gone.borrow_mut();
+        memory.1.push_back(gone);
+        if memory.1.len() > GONE
+            && let Some(oldest) = memory.1.pop_front()
+        {
+            memory.0 = Version(oldest.revision);
+        }
+    }
+
     /// Tells the fleet by how much what it learns now may be behind the store.
     fn note_lag(&self, state: &State) {
         let age = self.age(state.now());
@@ -319,6 +363,7 @@
         self.entries_revision.set(list.revision);
         // What went before the list is not in it: who knows less than the list may know too much.
         self.changed.set(self.changed.get().max(list.revision));
+        *self.gone.borrow_mut() = (list.revision, VecDeque::new());
         for object in list.items {
             self.take_entry(state, object);
         }
--- a/crates/edge/src/office.rs
+++ b/crates/edge/src/office.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tarragon_model::time::Instant;
 use tarragon_store::api::Api;
@@ -220,9 +221,8 @@
     fn tick(&mut self) {
         let now = self.state.now();
         self.count_hosts(now);
-        if self.facts.failing() && now.since(self.asked) >= ASK {
-            self.asked = now;
-            self.ask();
+        if self.facts.failing() {
+            self.ask(None);
         }
         if !matches!(self.role, Role::Granting(_)) {
             // The granter alone tells hosts on: each of them hears it.
@@ -300,13 +300,31 @@
         );
     }
 
-    fn ask(&mut self) {
-        let (catalog, entries) = self.facts.reached(&self.state);
-        let ask = Frame::Ask { catalog, entries };
-        match &self.role {
-            Role::Following(followed) => self.links.send(followed.link, &ask),
-            _ => self.links.broadcast(&ask),
+    /// Asks a host for what this one lacks: the one on `link`, or else the granter, or any.
+    ///
+    /// The answer may take its time on a narrow link, so questions keep a distance.
+    fn ask(&mut self, link: Option<u64>) {
+        let now = self.state.now();
+        if now.since(self.asked) < ASK {
+            return;
         }
+        let granter = match &self.role {
+            Role::Following(followed) => Some(followed.link),
+            Role::Seeking | Role::Granting(_) => None,
+        };
+        let up = self.up.iter().filter(|(_, link)| !link.host.is_empty());
+        let any = || up.map(|(link, _)| *link).choose(&mut rand::rng());
+        let Some(link) = link.or(granter).or_else(any) else {
+            return;
+        };
+        self.asked = now;
+        let (catalog, entries) = self.facts.reached(&self.state);
+        let ask = Frame::Ask {
+            catalog,
+            entries,
+            keys: self.state.map_versions(),
+        };
+        self.links.send(link, &ask);
     }
 
     fn report(&self) -> Frame {
--- a/crates/edge/src/office/links.rs
+++ b/crates/edge/src/office/links.rs
@@ -6,7 +6,7 @@
 use tarragon_model::time::Instant;
 
 use super::{Followed, Link, Office, Process, Record, Role, beat};
-use crate::facts::News;
+use crate::facts::{Later, News};
 use crate::peer::{Event, Frame};
 
 impl Office {
@@ -116,18 +116,35 @@
                 self.take_report(&traffic, &served, crashes);
             }
             Frame::Crashes { crashes } => self.take_crashes(&crashes),
-            Frame::Ask { catalog, entries } => self.tell(link, catalog, entries),
+            Frame::Ask {
+                catalog,
+                entries,
+                keys,
+            } => self.tell(link, (catalog, entries), &keys),
             Frame::Facts { catalog, entries } => self.facts.told(&self.state, catalog, entries),
         }
     }
 
-    pub(super) fn tell(&self, link: u64, catalog: u64, entries: u64) {
-        let (catalog, entries) = self.facts.later(catalog, entries);
+    /// Tells a host what it lacks of what this one knows.
+    fn tell(&self, link: u64, (catalog, entries): (u64, u64), keys: &[(String, (u64, u64))]) {
+        let catalog = self.facts.later_catalog(catalog);
+        let entries = match self.facts.later_entries(entries) {
+            Some(Later::News(news)) => {
+                self.links.send(link, &Frame::News(news));
+                None
+            }
+            Some(Later::All(list)) => Some(list),
+            None => None,
+        };
         if catalog.is_some() || entries.is_some() {
             self.links.send(link, &Frame::Facts { catalog, entries });
         }
-        if !matches!(self.role, Role::Granting(_)) {
-            for (service, map) in self.state.maps() {
+        if matches!(self.role, Role::Granting(_)) {
+            return;
+        }
+        for (service, map) in self.state.maps() {
+            let known = keys.iter().find(|(name, _)| *name == service);
+            if known.is_none_or(|(_, version)| *version < map.version) {
                 self.links.send(link, &Frame::Keys { service, map });
             }
         }
@@ -180,15 +197,13 @@
             self.facts.reach(entries);
             self.facts.relayed(Duration::from_millis(age_ms), now);
         } else {
-            let (catalog, entries) = own;
-            self.links.send(link, &Frame::Ask { catalog, entries });
+            self.ask(Some(link));
         }
     }
 
     pub(super) fn hear(&mut self, link: u64, news: News) {
         if !self.facts.hear(&self.state, news) {
-            let (catalog, entries) = self.facts.reached(&self.state);
-            self.links.send(link, &Frame::Ask { catalog, entries });
+            self.ask(Some(link));
         }
     }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -110,6 +110,8 @@
         catalog: u64,
         /// Revision up to which it knows the backend servers.
         entries: u64,
+        /// Version of the map of keys that it knows, by service.
+        keys: Vec<(String, (u64, u64))>,
     },
     /// What the store has just told the granter.
     News(News),
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -206,6 +206,13 @@
         maps.iter().map(copy).collect()
     }
 
+    /// Returns the versions of all maps, by service.
+    pub fn map_versions(&self) -> Vec<(String, (u64, u64))> {
+        let maps = self.maps.borrow();
+        let version = |(service, known): (&String, &Known)| (service.clone(), known.map.version);
+        maps.iter().map(version).collect()
+    }
+
     /// Takes in the holders of a service's keys unless later ones are known.
     pub fn learn_map(&self, service: &str, map: Map) {
         let mut maps = self.maps.borrow_mut();
--- a/crates/edge/tests/facts.rs
+++ b/crates/edge/tests/facts.rs
@@ -4,12 +4,14 @@
 
 use common::{entry, list, state};
 use serde_json::json;
-use tarragon_edge::facts::Facts;
+use tarragon_edge::facts::{Facts, Gone, Later, News};
 use tarragon_edge::state::State;
 use tarragon_store::object::{Object, Version};
 
 fn ids(facts: &Facts) -> Vec<String> {
-    let all = facts.later(0, 0).1.expect("entries are known");
+    let Some(Later::All(all)) = facts.later_entries(0) else {
+        panic!("nothing is remembered since the start");
+    };
     all.items.into_iter().map(|object| object.name).collect()
 }
 
@@ -39,10 +41,9 @@
     facts.reach(500);
     assert_eq!(facts.reached(&state).1, 500);
     assert_eq!(facts.changed(), 10);
-    let (catalog, entries) = facts.later(0, 10);
-    assert!(catalog.is_none());
-    assert!(entries.is_none(), "nothing changed since 10");
-    assert!(facts.later(0, 9).1.is_some());
+    assert!(facts.later_catalog(0).is_none());
+    assert!(facts.later_entries(10).is_none(), "nothing changed since");
+    assert!(facts.later_entries(9).is_some());
 }
 
 #[test]
@@ -52,7 +53,9 @@
     facts.told(&state, None, Some(list(120, &[entry("a", 5)])));
     let known_elsewhere = 100;
     assert!(facts.changed() > known_elsewhere);
-    let entries = facts.later(0, known_elsewhere).1.expect("told all");
+    let Some(Later::All(entries)) = facts.later_entries(known_elsewhere) else {
+        panic!("what went before the list is not remembered");
+    };
     let other = common::state();
     let others = Facts::default();
     others.told(
@@ -86,6 +89,42 @@
     assert_eq!(receiver.changed(), sender.changed());
 }
 
+#[test]
+fn a_host_that_lags_is_told_what_changed_and_not_all() {
+    let (from, sender) = (state(), Facts::default());
+    let (to, receiver) = (state(), Facts::default());
+    let all = list(10, &[entry("a", 5), entry("b", 9)]);
+    sender.told(&from, None, Some(all.clone()));
+    receiver.told(&to, None, Some(all));
+    // The receiver hears none of these.
+    for news in [
+        (10, 12, vec![entry("c", 12)], vec![]),
+        (12, 15, vec![], vec![("a", 15)]),
+    ] {
+        let (since, revision, entries, gone) = news;
+        let gone = gone.into_iter().map(|(id, revision): (&str, u64)| Gone {
+            id: id.to_owned(),
+            revision,
+            lapse: false,
+        });
+        let news = News {
+            since: Version(since),
+            revision: Version(revision),
+            entries,
+            gone: gone.collect(),
+            catalog: None,
+        };
+        assert!(sender.hear(&from, news));
+    }
+    let Some(Later::News(news)) = sender.later_entries(10) else {
+        panic!("all since 10 is remembered");
+    };
+    assert_eq!(news.entries.len(), 1);
+    assert!(receiver.hear(&to, news));
+    assert_eq!(ids(&receiver), ["b", "c"]);
+    assert!(sender.later_entries(receiver.changed()).is_none());
+}
+
 #[test]
 fn a_catalog_goes_on_as_what_changed() {
     let (from, sender) = (state(), Facts::default());
