Reckon grants from when they leave, and take changes of the store together

Change 1: the end of a grant is reckoned from when it left, and from 0.9 s after it was due while that is not known; grants stop leaving when the office may be another's. A seeded fault reckons from when they were due: noticed. The model of schedules lets orders leave late, and not at all. Change 2: at least 0.4 s between two watches of such a host, 0.06 s for the granter.

--- a/crates/edge/src/facts.rs
+++ b/crates/edge/src/facts.rs
@@ -23,6 +23,10 @@
 const WATCH: Duration = Duration::from_millis(700);
 /// The same for a host that is not the granter: many do it at once, while the granter is cut off.
 const OWN_WATCH: Duration = Duration::from_millis(1_600);
+/// Time between two watches of the granter, so that changes which come together are one answer.
+const GAP: Duration = Duration::from_millis(60);
+/// The same for a host that is not the granter.
+const OWN_GAP: Duration = Duration::from_millis(400);
 /// Hosts for which the longest pause after failed calls is as given; with more it is longer, as
 /// each of them tells the others when the store answers again.
 const HOSTS_A_PAUSE: u32 = 16;
@@ -161,6 +165,10 @@
         if self.leads.get() { WATCH } else { OWN_WATCH }
     }
 
+    fn gap(&self) -> Duration {
+        if self.leads.get() { GAP } else { OWN_GAP }
+    }
+
     /// Returns the longest pause after calls that failed.
     fn last_pause(&self, hosts: u32) -> Duration {
         if self.leads.get() {
@@ -439,6 +447,7 @@
             tokio::time::sleep(LOOK).await;
             continue;
         }
+        let began = state.now();
         let result = match position {
             None => list(state, facts, api, subject, kind).await,
             Some(after) => watch(state, facts, api, subject, kind, after).await,
@@ -447,6 +456,8 @@
             Ok(next) => {
                 position = Some(next);
                 pause = FIRST_PAUSE;
+                let took = state.now().since(began);
+                tokio::time::sleep(facts.gap().saturating_sub(took)).await;
             }
             Err(error) if error.kind == Kind::TooOld => {
                 log::info!("event=history-gone subject={subject:?}");
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -1,5 +1,6 @@
 //! Carries out what the granter of each keyed service decides.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,8 @@
 pub const KIND: &str = "tarragon-plans";
 /// Time that a grant holds: long enough for another host to take over the granter's office.
 const HOLD: Duration = Duration::from_secs(4);
+/// Time after a proof of the office was looked at for which grants still leave.
+const OFFICE_TIME: Duration = Duration::from_millis(150);
 /// Time between two looks at whether keys should move.
 const PLANNING: Duration = Duration::from_millis(400);
 /// Pause after the first call about a plan that failed; it doubles with each further one.
@@ -68,8 +71,10 @@
         service: String,
         /// The order.
         order: Order,
-        /// When it was sent.
-        sent: Instant,
+        /// When it was due.
+        due: Instant,
+        /// When it left this host, if it did.
+        left: Option<Instant>,
         /// How it ended.
         reply: Reply,
     },
@@ -126,6 +131,8 @@
     alone: bool,
     services: BTreeMap<String, Service>,
     unreached: HashMap<String, (Instant, Instant)>,
+    /// Until when the office is surely this granter's, for grants on their way out.
+    office_until: Rc<Cell<Instant>>,
 }
 
 impl Granting {
@@ -147,6 +154,7 @@
             alone,
             services: BTreeMap::new(),
             unreached: HashMap::new(),
+            office_until: Rc::new(Cell::new(Instant::ZERO)),
         }
     }
 
@@ -199,6 +207,7 @@
             return Vec::new();
         }
         let now = self.state.now();
+        self.office_until.set(now + OFFICE_TIME);
         let catalog = self.state.catalog();
         for service in catalog.services.iter().filter(|service| service.keyed) {
             if !self.services.contains_key(&service.name) {
@@ -389,17 +398,25 @@
         });
     }
 
-    fn send(&self, name: &str, order: Order, sent: Instant) {
+    fn send(&self, name: &str, order: Order, due: Instant) {
         let (state, pool, done) = (self.state.clone(), self.pool.clone(), self.done.clone());
+        let (office, late) = (self.office_until.clone(), self.timing().late);
         let service = name.to_owned();
         tokio::task::spawn_local(async move {
-            let reply = order::send(&state, &pool, &order, sent).await;
+            let ask = order::Due {
+                order: &order,
+                at: due,
+                late,
+                office: &office,
+            };
+            let (reply, left) = order::send(&state, &pool, ask).await;
             tell(
                 &done,
                 Done::Order {
                     service,
                     order,
-                    sent,
+                    due,
+                    left,
                     reply,
                 },
             );
@@ -413,9 +430,10 @@
             Done::Order {
                 service,
                 order,
-                sent,
+                due,
+                left,
                 reply,
-            } => self.ordered(&service, &order, sent, &reply, now),
+            } => self.ordered(&service, &order, (due, left), &reply, now),
             Done::Read { service, result } => self.was_read(&service, result, now),
             Done::Written {
                 service,
@@ -425,7 +443,14 @@
         }
     }
 
-    fn ordered(&mut self, name: &str, order: &Order, sent: Instant, reply: &Reply, now: Instant) {
+    fn ordered(
+        &mut self,
+        name: &str,
+        order: &Order,
+        (due, left): (Instant, Option<Instant>),
+        reply: &Reply,
+        now: Instant,
+    ) {
         if matches!(reply, Reply::Unknown | Reply::NotSent) {
             let entry = self.unreached.entry(order.server.id.clone());
             entry.or_insert((now, now)).1 = now;
@@ -444,7 +469,7 @@
         let Some(granter) = &mut service.granter else {
             return;
         };
-        let found = granter.ended(order, sent, reply);
+        let found = granter.ended(order, due, left, reply);
         let task = match order.task {
             Task::Grant => "grant",
             Task::Release => "release",
@@ -460,7 +485,7 @@
                 order.from,
                 order.to,
                 order.fence,
-                now.since(sent).as_millis(),
+                now.since(due).as_millis(),
                 order.handover.is_some()
             );
         }
@@ -601,6 +626,13 @@
     }
 }
 
+impl Drop for Granting {
+    /// Stops the grants that have not left: another host may hold the office.
+    fn drop(&mut self) {
+        self.office_until.set(Instant::ZERO);
+    }
+}
+
 /// Tells whether the process that a holder was has surely ended: a later one says its name.
 fn life(fleet: &Fleet, holder: &Holder) -> Life {
     let later = fleet
--- a/crates/edge/src/granting/order.rs
+++ b/crates/edge/src/granting/order.rs
@@ -1,5 +1,6 @@
 //! One order to a backend server.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,25 +14,32 @@
 use crate::pool::{Need, Pool};
 use crate::state::State;
 
-/// Time within which a grant must be answered.
-const GRANT_TIME: Duration = Duration::from_millis(900);
-/// Time after which a grant that has not left is not sent any more: how long a grant may hold is
-/// reckoned from when it was due, with [`Timing`](tarragon_owner::granter::Timing)'s margin.
-const LEAVE_TIME: Duration = Duration::from_millis(150);
 /// Time within which a release must be answered: it waits for running work.
 const RELEASE_TIME: Duration = Duration::from_secs(4);
 /// Connections for orders to one backend server.
 const ORDER_CONNECTIONS: u32 = 6;
 
-/// Sends one order and reads how it ended.
-///
-/// `due` is when the order was decided.
-pub async fn send(state: &State, pool: &Pool, order: &Order, due: Instant) -> Reply {
+/// An order that is due, and what it may still count on.
+#[derive(Clone, Copy)]
+pub struct Due<'a> {
+    /// The order.
+    pub order: &'a Order,
+    /// When it was decided.
+    pub at: Instant,
+    /// Time within which a grant leaves, or never does.
+    pub late: Duration,
+    /// Until when the granter's office is surely its own; grants leave before that only.
+    pub office: &'a Cell<Instant>,
+}
+
+/// Sends one order; returns how it ended, and when it left this host if it did.
+pub async fn send(state: &State, pool: &Pool, due: Due<'_>) -> (Reply, Option<Instant>) {
+    let order = due.order;
     let Some(addr) = address(state, order) else {
-        return Reply::NotSent;
+        return (Reply::NotSent, None);
     };
     let time = match order.task {
-        Task::Grant => GRANT_TIME,
+        Task::Grant => due.late,
         Task::Release => RELEASE_TIME,
     };
     let until = tokio::time::Instant::now() + time;
@@ -40,8 +48,9 @@
         idle: Duration::from_mins(1),
         until,
     };
-    let exchange = exchange(state, pool, (order, due), addr, need);
-    match tokio::time::timeout_at(until, exchange).await {
+    let left = Cell::new(None);
+    let exchange = exchange(state, pool, due, &left, addr, need);
+    let reply = match tokio::time::timeout_at(until, exchange).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(text)) => {
             log::debug!(
@@ -50,8 +59,11 @@
             );
             Reply::Unknown
         }
+        Err(_) if left.get().is_none() => Reply::NotSent,
         Err(_) => Reply::Unknown,
-    }
+    };
+    let left = left.get().filter(|_| reply != Reply::NotSent);
+    (reply, left)
 }
 
 /// Returns where an order goes.
@@ -67,10 +79,12 @@
 async fn exchange(
     state: &State,
     pool: &Pool,
-    (order, due): (&Order, Instant),
+    due: Due<'_>,
+    left: &Cell<Option<Instant>>,
     addr: SocketAddr,
     need: Need,
 ) -> Result<Reply, String> {
+    let order = due.order;
     loop {
         let mut lease = match pool.lease(&order.server.id, addr, need).await {
             Ok(lease) => lease,
@@ -79,17 +93,20 @@
                 return Ok(Reply::NotSent);
             }
         };
-        let late = state.now().since(due);
-        if order.task == Task::Grant && late > LEAVE_TIME {
+        let now = state.now();
+        let stopped = now > due.office.get() || now.since(due.at) > due.late;
+        if order.task == Task::Grant && stopped {
             log::info!(
-                "event=order-late server={} fence={} late_ms={}",
+                "event=order-stopped server={} fence={} late_ms={} office={}",
                 order.server.id,
                 order.fence,
-                late.as_millis()
+                now.since(due.at).as_millis(),
+                now <= due.office.get()
             );
             lease.give_back(None);
             return Ok(Reply::NotSent);
         }
+        left.set(Some(now));
         let response = match lease.send(request(state, order)).await {
             Ok(response) => response,
             Err((Some(_), _)) if lease.reused => continue,
--- a/crates/edge/tests/orders.rs
+++ b/crates/edge/tests/orders.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 
 use common::{entry_at, state};
 use futures::future::join_all;
-use tarragon_edge::granting::order;
+use tarragon_edge::granting::order::{self, Due};
 use tarragon_edge::pool::Pool;
 use tarragon_owner::granter::{Order, Reply, Task};
 use tarragon_owner::plan::Holder;
@@ -61,7 +62,7 @@
 }
 
 /// Sends many orders at once and returns how many reached the server, and how many did not leave.
-async fn crowd(task: Task) -> (usize, usize) {
+async fn crowd(task: Task, late: Duration) -> (usize, usize) {
     let reached = Arc::new(AtomicUsize::new(0));
     let address = backend(reached.clone()).await;
     let state = Rc::new(state());
@@ -72,26 +73,59 @@
         let (state, pool) = (state.clone(), pool.clone());
         let order = order(task, u16::try_from(index).unwrap());
         local.spawn_local(async move {
-            let due = state.now();
-            order::send(&state, &pool, &order, due).await
+            let office = Cell::new(state.now() + Duration::from_secs(9));
+            let due = Due {
+                order: &order,
+                at: state.now(),
+                late,
+                office: &office,
+            };
+            order::send(&state, &pool, due).await
         })
     });
     let replies = local.run_until(join_all(sends.collect::<Vec<_>>())).await;
     let unsent = replies
         .into_iter()
-        .filter(|reply| matches!(reply, Ok(Reply::NotSent)))
+        .filter(|sent| matches!(sent, Ok((Reply::NotSent, None))))
         .count();
     (reached.load(Ordering::SeqCst), unsent)
 }
 
 #[tokio::test]
-async fn a_grant_that_waited_for_a_connection_is_not_sent_late() {
-    let (reached, unsent) = crowd(Task::Grant).await;
+async fn a_grant_that_waited_too_long_for_a_connection_is_not_sent() {
+    let (reached, unsent) = crowd(Task::Grant, SLOW / 2).await;
     assert!(unsent > 0, "some waited");
     assert_eq!(reached + unsent, ORDERS);
 }
 
+#[tokio::test]
+async fn a_grant_that_may_wait_is_sent() {
+    assert_eq!(crowd(Task::Grant, SLOW * 3).await, (ORDERS, 0));
+}
+
 #[tokio::test]
 async fn a_release_is_sent_however_late() {
-    assert_eq!(crowd(Task::Release).await, (ORDERS, 0));
+    assert_eq!(crowd(Task::Release, SLOW / 2).await, (ORDERS, 0));
+}
+
+#[tokio::test]
+async fn a_grant_does_not_leave_once_the_office_may_be_another_s() {
+    let reached = Arc::new(AtomicUsize::new(0));
+    let address = backend(reached.clone()).await;
+    let state = state();
+    state.learn(entry_at("a", address), 1);
+    let pool = Pool::default();
+    let order = order(Task::Grant, 7);
+    let office = Cell::new(state.now());
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let due = Due {
+        order: &order,
+        at: state.now(),
+        late: SLOW,
+        office: &office,
+    };
+    let send = order::send(&state, &pool, due);
+    let (reply, left) = LocalSet::new().run_until(send).await;
+    assert_eq!((reply, left), (Reply::NotSent, None));
+    assert_eq!(reached.load(Ordering::SeqCst), 0);
 }
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -5,6 +5,7 @@
 use tarragon_model::time::Instant;
 
 use crate::balance::{self, Candidate, Scene};
+use crate::held::Held;
 use crate::loads::Rates;
 use crate::plan::{Former, Holder, Plan, Segment};
 
@@ -15,6 +16,8 @@
     pub hold: Duration,
     /// Time between two renewals of a grant.
     pub renewal: Duration,
+    /// Time after a grant is due within which it leaves its host, or never does.
+    pub late: Duration,
     /// Time after which a grant without an answer is sent again.
     pub retry: Duration,
     /// Time after which a release without an answer is sent again; it waits for running work.
@@ -32,6 +35,7 @@
         Self {
             hold,
             renewal: hold / 4,
+            late: Duration::from_millis(900),
             retry: Duration::from_millis(300),
             release: Duration::from_millis(1_200),
             margin: hold / 25 + Duration::from_millis(200),
@@ -102,29 +106,47 @@
     NoWait,
     /// Goes on renewing after it was told that another process grants.
     RenewAfterYield,
+    /// Reckons a grant from when it was due and not from when it left.
+    FromDue,
 }
 
 /// What stands between the former and the next holder of some keys.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 enum Stage {
-    /// The former holder may hold them until then; `None` while nobody can say until when.
-    Freeing(Former, Option<Instant>),
+    /// The former holder may hold them.
+    Freeing(Former, Hold),
     /// The holder may be granted them.
     Free,
 }
 
+/// What is known of until when a holder may hold keys.
+#[derive(Clone, Debug)]
+struct Hold {
+    /// By orders of this granter.
+    own: Held,
+    /// Whether a granter before this one may have sent grants under the same fence number.
+    inherited: bool,
+}
+
+impl Hold {
+    /// Returns when the keys are surely not held; `None` while nobody can say so.
+    fn end(&self, alone_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
+        let own = self.own.until(timing);
+        if !self.inherited {
+            return Some(own);
+        }
+        Some(own.max(alone_since? + timing.hold + timing.margin))
+    }
+}
+
 /// One segment of the plan in force, and what was ordered for it.
 #[derive(Clone, Debug)]
 struct Tenure {
     segment: Segment,
     stage: Stage,
     handover: Option<String>,
-    /// Latest moment at which the holder may hold the keys by an order of this granter.
-    held_until: Option<Instant>,
-    /// The same before the order that is on its way; an order that did not leave leaves it so.
-    held_before: Option<Instant>,
-    /// Whether a granter before this one may have sent grants under this fence number.
-    inherited: bool,
+    /// Until when the holder may hold the keys.
+    hold: Hold,
     /// Whether the holder has taken a grant under this fence number.
     taken: bool,
     pending: Option<Instant>,
@@ -279,7 +301,7 @@
         let stays = view.candidates.iter().any(|c| c.holder == *holder);
         if let Stage::Freeing(..) = &tenure.stage {
             // Nothing was granted to the next holder yet, unless another granter did.
-            return !tenure.inherited && !stays && life(holder) == Life::Ended;
+            return !tenure.hold.inherited && !stays && life(holder) == Life::Ended;
         }
         if !stays {
             return true;
@@ -322,15 +344,16 @@
         }
         let stage = match &segment.former {
             None => Stage::Free,
-            Some(former) => Stage::Freeing(former.clone(), self.end_of(before)),
+            Some(former) => Stage::Freeing(former.clone(), before.hold_to_end()),
         };
         Tenure {
             segment: segment.clone(),
             stage,
             handover: None,
-            held_until: None,
-            held_before: None,
-            inherited: false,
+            hold: Hold {
+                own: Held::default(),
+                inherited: false,
+            },
             taken: false,
             pending: None,
             renewed: None,
@@ -339,19 +362,6 @@
         }
     }
 
-    /// Returns until when anyone may hold the keys of a tenure, if that is known.
-    fn end_of(&self, tenure: &Tenure) -> Option<Instant> {
-        if let Stage::Freeing(_, end) = &tenure.stage {
-            return *end;
-        }
-        let own = tenure.held_until.unwrap_or(Instant::ZERO);
-        if !tenure.inherited {
-            return Some(own);
-        }
-        let inherited = self.alone_since? + self.timing.hold + self.timing.margin;
-        Some(own.max(inherited))
-    }
-
     /// Returns the orders that are due.
     ///
     /// `life` tells what is known of a holder's process.
@@ -361,10 +371,10 @@
         }
         let timing = self.timing;
         let flaw = self.flaw;
-        let inherited_end = self.alone_since.map(|at| at + timing.hold + timing.margin);
+        let alone_since = self.alone_since;
         let mut orders = Vec::new();
         for tenure in &mut self.tenures {
-            tenure.advance(inherited_end, flaw, now);
+            tenure.advance(alone_since, &timing, flaw, now);
             if tenure.due(life, &timing, now) {
                 orders.push(tenure.order(&timing, now));
             }
@@ -373,17 +383,29 @@
     }
 
     /// Takes in how an order ended; returns whether the keys found their holder by it.
-    pub fn ended(&mut self, order: &Order, sent: Instant, reply: &Reply) -> bool {
+    ///
+    /// `due` is when it was returned by [`Granter::orders`], `left` when it left this host.
+    pub fn ended(
+        &mut self,
+        order: &Order,
+        due: Instant,
+        left: Option<Instant>,
+        reply: &Reply,
+    ) -> bool {
         let index = self
             .tenures
             .partition_point(|tenure| tenure.segment.to < order.from);
+        let left = match self.flaw {
+            Flaw::FromDue => left.map(|_| due),
+            _ => left,
+        };
         // A part of an order's keys may have been planned anew since: each tenure decides itself.
         let mut found = false;
         for tenure in &mut self.tenures[index..] {
             if tenure.segment.from > order.to {
                 break;
             }
-            found |= tenure.ended(order, sent, reply);
+            found |= tenure.ended(order, (due, left), reply, &self.timing);
         }
         found
     }
@@ -398,17 +420,19 @@
 impl Tenure {
     /// Takes up a segment of a plan that another granter may have acted on.
     fn inherit(segment: &Segment, now: Instant) -> Self {
+        let hold = Hold {
+            own: Held::default(),
+            inherited: true,
+        };
         let stage = match &segment.former {
             None => Stage::Free,
-            Some(former) => Stage::Freeing(former.clone(), None),
+            Some(former) => Stage::Freeing(former.clone(), hold.clone()),
         };
         Self {
             segment: segment.clone(),
             stage,
             handover: None,
-            held_until: None,
-            held_before: None,
-            inherited: true,
+            hold,
             taken: false,
             pending: None,
             renewed: None,
@@ -417,6 +441,14 @@
         }
     }
 
+    /// Returns until when anyone may hold the keys.
+    fn hold_to_end(&self) -> Hold {
+        match &self.stage {
+            Stage::Freeing(_, hold) => hold.clone(),
+            Stage::Free => self.hold.clone(),
+        }
+    }
+
     /// Returns who must be freed of the keys before yet another server gets them.
     fn holder_to_free(&self) -> Former {
         match &self.stage {
@@ -432,11 +464,11 @@
     ///
     /// A former holder that started anew may have taken a renewal that was meant for its former
     /// life, so only a higher fence number at the same server needs no wait.
-    fn advance(&mut self, inherited_end: Option<Instant>, flaw: Flaw, now: Instant) {
-        let Stage::Freeing(former, end) = &self.stage else {
+    fn advance(&mut self, alone_since: Option<Instant>, timing: &Timing, flaw: Flaw, now: Instant) {
+        let Stage::Freeing(former, hold) = &self.stage else {
             return;
         };
-        let end = end.or(inherited_end);
+        let end = hold.end(alone_since, timing);
         let over = end.is_some_and(|end| now > end);
         let same = former.holder.id == self.segment.holder.id;
         if over || same || flaw == Flaw::NoWait {
@@ -468,9 +500,7 @@
         let (task, server) = match &self.stage {
             Stage::Freeing(former, _) => (Task::Release, former.holder.clone()),
             Stage::Free => {
-                let until = now + timing.hold + timing.margin;
-                self.held_before = self.held_until;
-                self.held_until = Some(self.held_until.map_or(until, |held| held.max(until)));
+                self.hold.own.due(now, timing);
                 (Task::Grant, self.segment.holder.clone())
             }
         };
@@ -484,7 +514,16 @@
         }
     }
 
-    fn ended(&mut self, order: &Order, sent: Instant, reply: &Reply) -> bool {
+    fn ended(
+        &mut self,
+        order: &Order,
+        (due, left): (Instant, Option<Instant>),
+        reply: &Reply,
+        timing: &Timing,
+    ) -> bool {
+        if order.task == Task::Grant {
+            self.left(order, due, left, timing);
+        }
         if order.fence != self.segment.fence {
             return false;
         }
@@ -503,7 +542,7 @@
                 let first = !self.taken;
                 self.taken = true;
                 self.pending = None;
-                self.renewed = Some(self.renewed.map_or(sent, |at| at.max(sent)));
+                self.renewed = Some(self.renewed.map_or(due, |at| at.max(due)));
                 first
             }
             (Task::Grant, Reply::Outdated) => {
@@ -511,14 +550,18 @@
                 self.pending = None;
                 false
             }
-            (Task::Grant, Reply::NotSent) => {
-                // Only if no later order is on its way: that one may have left.
-                if self.pending == Some(sent) {
-                    self.held_until = self.held_before;
-                }
-                false
-            }
-            (Task::Release, Reply::Outdated | Reply::NotSent) | (_, Reply::Unknown) => false,
+            (_, Reply::NotSent | Reply::Unknown) | (Task::Release, Reply::Outdated) => false,
+        }
+    }
+
+    /// Notes when a grant to the holder, or to the former one, left this host.
+    fn left(&mut self, order: &Order, due: Instant, left: Option<Instant>, timing: &Timing) {
+        if order.fence == self.segment.fence {
+            self.hold.own.left(due, left, timing);
+        } else if let Stage::Freeing(former, hold) = &mut self.stage
+            && former.fence == order.fence
+        {
+            hold.own.left(due, left, timing);
         }
     }
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod balance;
 pub mod granter;
+mod held;
 pub mod loads;
 pub mod plan;
 pub mod speeds;
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -34,6 +34,9 @@
 /// Time between two ticks after which a granter counts as frozen meanwhile.
 const FREEZE: Duration = Duration::from_millis(700);
 
+/// Time after a proof of its office was looked at for which a granter's grants still leave.
+const OFFICE: Duration = Duration::from_millis(150);
+
 /// Faults of the world around the granter, seeded on purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seeded {
@@ -100,8 +103,11 @@
 }
 
 enum Event {
-    Arrive(Process, Instant, Order),
-    Reply(Process, Order, Instant, Reply),
+    /// An order that was due then leaves its host, or does not.
+    Leave(Process, Instant, Order),
+    /// An order that was due, and left, then reaches its server.
+    Arrive(Process, (Instant, Instant), Order),
+    Reply(Process, Order, Instant, Option<Instant>, Reply),
 }
 
 /// Everything together.
@@ -239,21 +245,46 @@
                 return;
             }
             match entry.remove() {
-                Event::Arrive(process, sent, order) => self.arrive(process, sent, order),
-                Event::Reply((host, incarnation), order, sent, reply) => {
+                Event::Leave(process, due, order) => self.leave(process, due, order),
+                Event::Arrive(process, times, order) => self.arrive(process, times, order),
+                Event::Reply((host, incarnation), order, due, left, reply) => {
                     let host = &mut self.hosts[host];
                     if host.incarnation == incarnation
                         && let Some(grants) = &mut host.grants
                     {
-                        grants.granter.ended(&order, sent, &reply);
+                        grants.granter.ended(&order, due, left, &reply);
                     }
                 }
             }
         }
     }
 
+    /// An order leaves its host, unless that grants no longer, or it is too late.
+    fn leave(&mut self, process: Process, due: Instant, order: Order) {
+        let now = self.now;
+        let (host, incarnation) = process;
+        let runs = self.hosts[host].incarnation == incarnation;
+        if !runs || now < self.hosts[host].frozen_until {
+            return;
+        }
+        let timing = Timing::with_hold(HOLD);
+        let open = self.hosts[host].grants.as_ref().is_some_and(|grants| {
+            now.since(grants.confirmed) < CONFIRMED && now.since(grants.ticked) <= OFFICE
+        });
+        let grant = order.task == Task::Grant;
+        if grant && (!open || now.since(due) > timing.late) {
+            self.push(
+                STEP,
+                Event::Reply(process, order, due, None, Reply::NotSent),
+            );
+            return;
+        }
+        let way = Duration::from_millis(self.rng.random_range(10..80));
+        self.push(way, Event::Arrive(process, (due, now), order));
+    }
+
     /// An order reaches its server, is carried out now or later, and is answered or not.
-    fn arrive(&mut self, process: Process, sent: Instant, order: Order) {
+    fn arrive(&mut self, process: Process, (due, left): (Instant, Instant), order: Order) {
         let now = self.now;
         let index = self
             .servers
@@ -262,7 +293,7 @@
         let Some(index) = index else { return };
         let cut = now < self.servers[index].cut_until;
         // The connection of an order breaks with its server; a later one reaches the new life.
-        let broken = self.servers[index].started > sent;
+        let broken = self.servers[index].started > left;
         if cut || broken {
             return;
         }
@@ -276,7 +307,7 @@
         let (taken, reply) = self.carry_out(index, arrival, &order);
         self.granted += u64::from(taken);
         if self.rng.random_bool(0.97) {
-            self.push(STEP, Event::Reply(process, order, sent, reply));
+            self.push(STEP, Event::Reply(process, order, due, Some(left), reply));
         }
     }
 
@@ -540,8 +571,10 @@
             return;
         }
         for order in orders {
-            let delay = Duration::from_millis(self.rng.random_range(1..200));
-            self.push(delay, Event::Arrive((index, incarnation), now, order));
+            let slow = self.rng.random_bool(0.1);
+            let delay = self.rng.random_range(1..if slow { 1_100 } else { 120 });
+            let delay = Duration::from_millis(delay);
+            self.push(delay, Event::Leave((index, incarnation), now, order));
         }
     }
 
--- a/crates/owner/tests/schedules.rs
+++ b/crates/owner/tests/schedules.rs
@@ -60,5 +60,9 @@
     renewal_after_yield_is_noticed,
     Seeded::Granter(Flaw::RenewAfterYield)
 );
+noticed!(
+    grant_reckoned_from_when_it_was_due_is_noticed,
+    Seeded::Granter(Flaw::FromDue)
+);
 noticed!(grant_before_plan_is_noticed, Seeded::GrantBeforePlan);
 noticed!(reused_fence_is_noticed, Seeded::FenceReused);
