Keep what an old fence number may hold when only the number changes

Cause: read from the code beside the change before: a tenure that got a new fence number for the same holder forgot the grants under the old one, so keys whose new grants never left counted as free at once. Change: such a tenure takes over what may be held.

--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -129,6 +129,14 @@
 }
 
 impl Hold {
+    /// What holds before anything was ordered.
+    fn none() -> Self {
+        Self {
+            own: Held::default(),
+            inherited: false,
+        }
+    }
+
     /// Returns when the keys are surely not held; `None` while nobody can say so.
     fn end(&self, alone_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
         let own = self.own.until(timing);
@@ -325,13 +333,13 @@
         self.tenures = plan
             .segments
             .iter()
-            .map(|segment| self.succeed(&former, segment, now))
+            .map(|segment| Self::succeed(&former, segment, now))
             .collect();
         self.plan = plan;
     }
 
     /// Makes the tenure of a segment out of the one that had its keys before.
-    fn succeed(&self, former: &[Tenure], segment: &Segment, now: Instant) -> Tenure {
+    fn succeed(former: &[Tenure], segment: &Segment, now: Instant) -> Tenure {
         let index = former.partition_point(|tenure| tenure.segment.to < segment.from);
         let Some(before) = former.get(index) else {
             return Tenure::inherit(segment, now);
@@ -346,14 +354,17 @@
             None => Stage::Free,
             Some(former) => Stage::Freeing(former.clone(), before.hold_to_end()),
         };
+        let hold = if before.segment.holder == segment.holder {
+            // A new fence number alone does not end what the old one may hold.
+            before.hold_to_end()
+        } else {
+            Hold::none()
+        };
         Tenure {
             segment: segment.clone(),
             stage,
             handover: None,
-            hold: Hold {
-                own: Held::default(),
-                inherited: false,
-            },
+            hold,
             taken: false,
             pending: None,
             renewed: None,
