Reckon grants from their answers, and release only when none is on its way

Cause 1 (schedule 1191 of 3,000, release build): a grant that waited for a connection left 0.9 s after it was due, behind the release of its keys, and reached the holder's next life, which had not heard of the release. Change: a release waits until no grant to the holder can still leave (0.9 s at most, mostly a round trip). Change: the end of a grant is reckoned from when its answer, or the end of the wait for it, is seen; after a take-over 0.9 s are added for what a former granter had handed over.

--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -469,6 +469,9 @@
         let Some(granter) = &mut service.granter else {
             return;
         };
+        // On a host that is short of processor, a grant may reach the wire long after it was handed
+        // over; by now it has.
+        let left = left.map(|_| now);
         let found = granter.ended(order, due, left, reply);
         let task = match order.task {
             Task::Grant => "grant",
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -143,7 +143,7 @@
         if !self.inherited {
             return Some(own);
         }
-        Some(own.max(alone_since? + timing.hold + timing.margin))
+        Some(own.max(alone_since? + timing.late + timing.hold + timing.margin))
     }
 }
 
@@ -354,7 +354,7 @@
             None => Stage::Free,
             Some(former) => Stage::Freeing(former.clone(), before.hold_to_end()),
         };
-        let hold = if before.segment.holder == segment.holder {
+        let hold = if before.segment.holder.id == segment.holder.id {
             // A new fence number alone does not end what the old one may hold.
             before.hold_to_end()
         } else {
@@ -395,7 +395,8 @@
 
     /// Takes in how an order ended; returns whether the keys found their holder by it.
     ///
-    /// `due` is when it was returned by [`Granter::orders`], `left` when it left this host.
+    /// `due` is when it was returned by [`Granter::orders`]; `left` is a moment by which it had
+    /// surely left this host, unless it did not.
     pub fn ended(
         &mut self,
         order: &Order,
@@ -498,7 +499,8 @@
             return false;
         }
         match &self.stage {
-            Stage::Freeing(..) => true,
+            // A grant that left after the release could be taken by a next life of the holder.
+            Stage::Freeing(_, hold) => !hold.own.may_leave(now, timing),
             Stage::Free if life(&self.segment.holder) == Life::Ended => false,
             Stage::Free => self
                 .renewed
--- a/crates/owner/src/held.rs
+++ b/crates/owner/src/held.rs
@@ -26,7 +26,7 @@
         self.open.push(now);
     }
 
-    /// Notes when the grant that was due at `due` left; `None` if it did not.
+    /// Notes by when the grant that was due at `due` had left; `None` if it did not.
     pub(crate) fn left(&mut self, due: Instant, left: Option<Instant>, timing: &Timing) {
         let Some(place) = self.open.iter().position(|open| *open == due) else {
             return;
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Tells whether a grant that was due may still leave.
+    pub(crate) fn may_leave(&self, now: Instant, timing: &Timing) -> bool {
+        let last = self.open.last();
+        last.is_some_and(|due| now.since(*due) <= timing.late)
+    }
+
     /// Returns until when any of the grants may hold.
     pub(crate) fn until(&self, timing: &Timing) -> Instant {
         let open = self.open.last();
