Serve uploads, survive unknown route types, and believe a server that denies a request

Cause: one route of a type that the adapter did not know made the whole catalog unreadable, so the further deployments served nothing. From reading: a response over 1 MiB was forwarded with no time limit.

Change: - Kind::Upload: runs at most once, its body counts in the cost of distance. An unknown type is handled like a request that runs at most once; one log line names route, field and revision. A 421 that names another server takes the whole entry out of use. An entry whose address a later server uses is out of use as well. - relay: forwarded responses end at the caller's deadline (twice the wait if their length is declared), response heads at 64 KiB; closing a connection to a server discards unsent bytes; a release gets a connection of its own. - front was split; requests with their sends are in routed.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -15,6 +15,19 @@
     pub services: Vec<Service>,
     /// Limits for callers.
     pub limits: Limits,
+    /// Values that this version of the router does not know, and replaced by careful defaults.
+    pub unknown: Vec<Unknown>,
+}
+
+/// Value in the configuration that this version of the router does not know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unknown {
+    /// Name of the route.
+    pub route: String,
+    /// Name of the field.
+    pub field: &'static str,
+    /// The value.
+    pub value: String,
 }
 
 impl Catalog {
@@ -57,13 +70,22 @@
     NonIdempotent,
     /// It may run more than once, and its response is large.
     Download,
+    /// It may run at most once, and its body is large.
+    Upload,
 }
 
 impl Kind {
     /// Returns whether a request of this kind may run more than once.
+    ///
+    /// ```
+    /// use tarragon_dispatch::catalog::Kind;
+    ///
+    /// assert!(Kind::Download.is_retryable());
+    /// assert!(!Kind::Upload.is_retryable());
+    /// ```
     #[must_use]
     pub const fn is_retryable(self) -> bool {
-        !matches!(self, Self::NonIdempotent)
+        matches!(self, Self::Idempotent | Self::Download)
     }
 }
 
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -56,6 +56,10 @@
     missing_since: Option<Instant>,
     /// Time until which a missing entry may return.
     grace_until: Option<Instant>,
+    /// Whether a server that started later uses its address, so that this one has ended.
+    superseded: bool,
+    /// Time until which the server counts as another than the entry says.
+    denied_until: Option<Instant>,
     estimate: Estimate,
 }
 
@@ -96,6 +100,8 @@
     pub priority: u32,
     /// Whether its response is known to be large.
     pub large_response: bool,
+    /// Size of its body, in bytes.
+    pub request_bytes: usize,
     /// Random number between 0 and 1 that breaks ties.
     pub random: f64,
 }
@@ -140,6 +146,9 @@
 pub const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2_300);
 /// Time for which a removed backend server is remembered, for requests that still run there.
 const REMOVED_RETENTION: Duration = Duration::from_secs(20);
+/// Time after which a backend server that denied being the one in its entry is tried again. It
+/// exceeds the time in which the entry of an ended server disappears.
+const DENIAL_TIME: Duration = Duration::from_secs(5);
 /// Fraction of the remaining time that the expected response time may take at the highest priority.
 const TIME_PART: f64 = 0.9;
 /// Reduction of that fraction for each lower priority level.
@@ -207,15 +216,22 @@
                 present: true,
                 missing_since: None,
                 grace_until: None,
+                superseded: false,
+                denied_until: None,
                 estimate,
                 entry,
             };
-            self.servers.insert(server.entry.id.clone(), server);
+            let id = server.entry.id.clone();
+            self.servers.insert(id.clone(), server);
+            self.supersede(&id);
             return Change::New;
         };
         if revision < known.revision {
             return Change::None;
         }
+        if revision > known.revision {
+            known.denied_until = None;
+        }
         known.revision = revision;
         known.present = true;
         known.missing_since = None;
@@ -225,18 +241,58 @@
         if restarted {
             known.estimate = Estimate::new(now + entry.warmup);
             known.learned_at = now;
+            known.superseded = false;
         }
         if restarted || was_ready == entry.draining {
             known.status = status;
         }
+        let id = entry.id.clone();
         known.entry = entry;
         match (restarted, was_ready == (known.status == Status::Ready)) {
-            (true, _) => Change::Restarted,
+            (true, _) => {
+                self.supersede(&id);
+                Change::Restarted
+            }
             (false, false) => Change::Status,
             (false, true) => Change::None,
         }
     }
 
+    /// Marks the server that has ended among those with the address of the server `id`: an address
+    /// is used again only after its former server has ended.
+    fn supersede(&mut self, id: &str) {
+        let Some(new) = self.servers.get(id) else {
+            return;
+        };
+        let (addr, start_ms) = (new.entry.addr, new.entry.start_ms);
+        let mut latest = start_ms;
+        for other in self.servers.values_mut() {
+            if other.entry.addr == addr && other.entry.id != id {
+                latest = latest.max(other.entry.start_ms);
+                other.superseded |= other.entry.start_ms < start_ms;
+            }
+        }
+        if let Some(new) = self.servers.get_mut(id) {
+            new.superseded = start_ms < latest;
+        }
+    }
+
+    /// Records that a backend server denied being the one in its entry.
+    ///
+    /// It gets no requests until its entry changes or some seconds have passed.
+    pub fn record_denial(&mut self, id: &str, now: Instant) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.denied_until = Some(now + DENIAL_TIME);
+        }
+    }
+
+    /// Records a failure that showed after the request had been recorded as ended.
+    pub fn record_failure(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.estimate.record_failure();
+        }
+    }
+
     /// Records that a backend server's entry is gone from the store as of `revision`. Returns
     /// whether the server counts as gone now.
     ///
@@ -350,7 +406,7 @@
             if server.entry.service != criteria.service || server.status != Status::Ready {
                 continue;
             }
-            if server.estimate.is_blocked(now) {
+            if server.superseded || server.is_denied(now) || server.estimate.is_blocked(now) {
                 continue;
             }
             let untried = !criteria.tried.contains(&server.entry.id);
@@ -374,7 +430,8 @@
             } else {
                 CONNECT_PENALTY
             };
-            let distance_ms = baseline.distance_ms(distance, criteria.large_response);
+            let distance_ms =
+                baseline.distance_ms(distance, criteria.large_response, criteria.request_bytes);
             let cost = (expected_ms * connect + distance_ms) * retried * missing * noise;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, expected_ms, server));
@@ -432,6 +489,25 @@
         self.present
     }
 
+    /// Returns whether the server may get keys: its entry says that it is ready, and nothing shows
+    /// that another server uses its address.
+    #[must_use]
+    pub fn accepts_keys(&self) -> bool {
+        self.present && self.status == Status::Ready && !self.superseded
+    }
+
+    /// Returns whether attempts to reach the server failed, so that it is not tried now.
+    #[must_use]
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        self.estimate.is_unreachable(now)
+    }
+
+    /// Returns whether the server denied being the one in its entry.
+    #[must_use]
+    pub fn is_denied(&self, now: Instant) -> bool {
+        self.denied_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether the server still accepts requests that only it can process.
     ///
     /// A server that is leaving, or whose entry is missing, still processes such requests. No
@@ -444,7 +520,7 @@
             Status::Ready => self.missing_since,
             Status::Leaving(since) => Some(since),
         };
-        since.is_none_or(|since| now.since(since) < drain)
+        !self.superseded && since.is_none_or(|since| now.since(since) < drain)
     }
 
     /// Returns the time since this host learned of the server's current incarnation.
--- a/crates/dispatch/src/fleet/estimate.rs
+++ b/crates/dispatch/src/fleet/estimate.rs
@@ -89,13 +89,16 @@
 
 impl Baseline {
     /// Returns the cost of the distance to a server, in milliseconds.
-    pub(super) fn distance_ms(&self, distance: Distance, large: bool) -> f64 {
+    ///
+    /// The bytes of the request and those expected of its response count alike.
+    pub(super) fn distance_ms(&self, distance: Distance, large: bool, request: usize) -> f64 {
         let bytes = if large {
             self.bytes.max(LARGE_BYTES)
         } else {
             self.bytes
         };
-        let kilobytes = bytes / 1_000.0;
+        let request = f64::from(u32::try_from(request).unwrap_or(u32::MAX));
+        let kilobytes = (bytes + request) / 1_000.0;
         match distance {
             Distance::Zone => 0.0,
             Distance::Region => {
@@ -195,7 +198,7 @@
         match observation.class {
             AttemptClass::Served => self.record_served(observation, baseline, slots, now),
             AttemptClass::Shed | AttemptClass::Failed => {
-                self.failure_rate += FAILURE_GAIN * (1.0 - self.failure_rate);
+                self.record_failure();
                 self.unreachable_count = 0;
             }
             AttemptClass::Unreachable => self.record_unreachable(now),
@@ -203,6 +206,10 @@
         }
     }
 
+    pub(super) fn record_failure(&mut self) {
+        self.failure_rate += FAILURE_GAIN * (1.0 - self.failure_rate);
+    }
+
     fn record_served(
         &mut self,
         observation: Observation,
@@ -268,6 +275,11 @@
         now < self.blocked_until
     }
 
+    /// Returns whether several attempts in a row failed to reach the server, and it is not tried.
+    pub(super) fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable_count > 1 && self.is_blocked(now)
+    }
+
     pub(super) fn is_untried(&self) -> bool {
         !self.tried
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod budget;
 pub mod catalog;
+pub mod denial;
 pub mod fleet;
 pub mod poison;
 pub mod table;
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -41,6 +41,7 @@
         objective: Duration::from_millis(500),
         priority: 1,
         large_response: false,
+        request_bytes: 0,
         random: 0.5,
     }
 }
@@ -355,3 +356,74 @@
         }
     }
 }
+
+#[test]
+fn a_server_whose_address_a_later_one_uses_gets_no_requests() {
+    let mut fleet = fleet();
+    fleet.update(entry("old", "a1"), 1, NOW);
+    let drain = Duration::from_secs(2);
+    assert!(fleet.get("old").unwrap().accepts_keyed(drain, NOW));
+    let later = Entry {
+        service: "t".to_owned(),
+        start_ms: 2,
+        ..entry("new", "a1")
+    };
+    fleet.update(later, 2, NOW);
+    let refusal = fleet.pick(&criteria(&[]), &|_| true, NOW);
+    assert_eq!(refusal, Err(Refusal::NoServer));
+    let old = fleet.get("old").unwrap();
+    assert!(!old.accepts_keyed(drain, NOW) && !old.accepts_keys());
+    assert!(fleet.get("new").unwrap().accepts_keys());
+}
+
+#[test]
+fn an_outdated_entry_does_not_displace_the_server_that_uses_its_address() {
+    let mut fleet = fleet();
+    let later = Entry {
+        start_ms: 2,
+        ..entry("new", "a1")
+    };
+    fleet.update(later, 1, NOW);
+    fleet.update(entry("old", "a1"), 2, NOW);
+    assert!(fleet.get("new").unwrap().accepts_keys());
+    assert!(!fleet.get("old").unwrap().accepts_keys());
+    let restarted = Entry {
+        start_ms: 3,
+        addr: "127.0.0.1:10".parse().unwrap(),
+        ..entry("old", "a1")
+    };
+    fleet.update(restarted, 3, NOW);
+    assert!(fleet.get("old").unwrap().accepts_keys());
+}
+
+#[test]
+fn a_server_that_denied_its_identity_gets_no_requests_until_its_entry_changes() {
+    let mut fleet = fleet();
+    fleet.update(entry("x", "a1"), 1, NOW);
+    fleet.record_denial("x", NOW);
+    let pick = |fleet: &Fleet, now| fleet.pick(&criteria(&[]), &|_| true, now).is_ok();
+    assert!(!pick(&fleet, NOW));
+    fleet.update(entry("x", "a1"), 1, NOW);
+    assert!(!pick(&fleet, NOW), "the same entry is no news");
+    fleet.update(entry("x", "a1"), 2, NOW);
+    assert!(pick(&fleet, NOW));
+    fleet.record_denial("x", NOW);
+    assert!(pick(&fleet, NOW + Duration::from_secs(6)));
+}
+
+#[test]
+fn a_request_with_a_large_body_stays_in_the_region() {
+    let mut fleet = fleet();
+    fleet.update(entry("near", "a1"), 1, NOW);
+    fleet.update(entry("far", "b1"), 1, NOW);
+    for _ in 0..8 {
+        fleet.record_sent("near");
+    }
+    let small = criteria(&[]);
+    assert_eq!(fleet.pick(&small, &|_| true, NOW).unwrap().id, "far");
+    let upload = Criteria {
+        request_bytes: 60_000,
+        ..small
+    };
+    assert_eq!(fleet.pick(&upload, &|_| true, NOW).unwrap().id, "near");
+}
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tarragon_dispatch::fleet::{Fleet, Status};
+use tarragon_dispatch::fleet::Fleet;
 use tarragon_model::time::Instant;
 use tarragon_owner::balance::Candidate;
 use tarragon_owner::granter::{
@@ -350,8 +350,7 @@
         let fleet = self.state.fleet.borrow();
         let servers = fleet.iter().filter(|server| {
             server.entry.service == name
-                && server.status == Status::Ready
-                && server.present()
+                && server.accepts_keys()
                 && !self.is_unreachable(&server.entry.id, now)
         });
         let speeds = self.services.get(name).map(|service| &service.speeds);
--- a/crates/edge/src/granting/command.rs
+++ b/crates/edge/src/granting/command.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use tarragon_model::time::Instant;
 use tarragon_owner::granter::{Action, Command, CommandOutcome};
 
@@ -19,6 +19,9 @@
 /// Most connections for commands to one backend server.
 const MAX_CONNECTIONS: u32 = 6;
 
+/// Maximum size of the body of a response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024;
+
 /// Command that is due, and the limits within which it may be sent.
 #[derive(Clone, Copy)]
 pub struct Pending<'a> {
@@ -47,9 +50,15 @@
         Action::Release => RELEASE_TIMEOUT,
     };
     let deadline = tokio::time::Instant::now() + timeout;
+    let max_idle = match command.action {
+        Action::Grant => Duration::from_mins(1),
+        // The response to a release frees the keys, so a late response to an earlier command must
+        // not be taken for it.
+        Action::Release => Duration::ZERO,
+    };
     let requirements = Requirements {
         max_connections: MAX_CONNECTIONS,
-        max_idle: Duration::from_mins(1),
+        max_idle,
         deadline,
     };
     let sent = Cell::new(None);
@@ -126,9 +135,11 @@
             .get(&names.handover)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
-        let body = response.into_body().collect().await;
-        body.map_err(|error| error.to_string())?;
-        connection.recycle(None);
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
+        body.await.map_err(|error| error.to_string())?;
+        if command.action == Action::Grant {
+            connection.recycle(None);
+        }
         return Ok(match status {
             StatusCode::OK => CommandOutcome::Done { handover },
             StatusCode::CONFLICT => CommandOutcome::StaleFence,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! elected granter and assigns the keys. A single thread runs all tasks: a host has about a fifth
 //! of a core, and shared state then needs no locks.
 
+pub mod body;
 pub mod clock;
 pub mod cluster;
 pub mod edit;
@@ -18,6 +19,7 @@
 pub mod pool;
 pub mod process;
 pub mod relay;
+pub mod routed;
 pub mod settings;
 pub mod socket;
 pub mod state;
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -17,6 +17,8 @@
     pub deadline: HeaderName,
     /// Identifier of the only backend server that may run the request.
     pub expected_server: HeaderName,
+    /// Identifier of the backend server that responds, in a response that denies being another one.
+    pub server: HeaderName,
     /// Present when the backend server states that it did not run the request.
     pub not_run: HeaderName,
     /// Present when the backend server confirms that it ran the request.
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -31,6 +31,8 @@
 /// Time after the reset of a new connection for which no connection is opened beside one that is
 /// open: a server accepts fewer connections while its queue is long.
 const RESET_BACKOFF: Duration = Duration::from_millis(500);
+/// Maximum size of the head of a response, and of the read buffer of a connection, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Fraction of the keep-alive timeout stated by the server for which a connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
@@ -202,7 +204,10 @@
         .map_err(|_| failed("timeout".to_owned()))?
         .map_err(|error| failed(error.to_string()))?;
     set_peer_options(&stream);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    discard_unsent_on_close(&stream);
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
     tokio::task::spawn_local(async move {
@@ -227,6 +232,17 @@
     }
 }
 
+/// Makes the closing of a connection discard the bytes that its peer has not acknowledged.
+///
+/// A request that was given up must not arrive later, when a broken link works again: a backend
+/// server would run it, or hold the keys of an old grant. The kernel closes the connections of a
+/// killed process in the same way.
+fn discard_unsent_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!("event=socket-option-failed option=linger error=\"{error}\"");
+    }
+}
+
 /// Sets TCP options that detect a caller that vanished without closing.
 ///
 /// Unlike [`set_peer_options`], it sets no limit on unacknowledged bytes: a caller may read a
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,6 +1,8 @@
 //! Sends a caller's request to one backend server and receives the response.
 
+use std::cell::RefCell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,11 +12,12 @@
     TRANSFER_ENCODING,
 };
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, BodyStream, Full, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use tarragon_dispatch::fleet::{AttemptClass, Load, Observation, Pick};
+use tarragon_dispatch::fleet::{AttemptClass, Fleet, Load, Observation, Pick};
 use tokio::time::Instant;
 
+use crate::body::Reservation;
 use crate::platform::Headers;
 use crate::pool::{self, Connection, Requirements};
 use crate::state::State;
@@ -77,6 +80,8 @@
     Full,
     /// The backend server states that it did not run the request.
     NotRun(StatusCode),
+    /// Another backend server has the address; it did not run the request.
+    OtherServer,
     /// The request was sent and may have run, but there is no usable response.
     Unknown(String),
 }
@@ -90,6 +95,7 @@
             Self::NotSent(_) => "not-sent",
             Self::Full => "full",
             Self::NotRun(_) => "not-run",
+            Self::OtherServer => "other-server",
             Self::Unknown(_) => "unknown",
         }
     }
@@ -134,7 +140,8 @@
 /// Sends a request to the backend server `pick` and waits for its response.
 ///
 /// `connections` is the connection limit of the backend server. `deadline` is forwarded to it but
-/// not enforced here: the calling function must apply a timeout.
+/// not enforced here, except on a response that is forwarded as it arrives: the calling function
+/// must apply a timeout.
 pub async fn send(
     state: &State,
     request: &CallerRequest,
@@ -165,7 +172,9 @@
             }
         };
         match connection.send(outbound).await {
-            Ok(response) => return receive(state, request, response, connection, &mut guard).await,
+            Ok(response) => {
+                return receive(state, request, response, connection, &mut guard, deadline).await;
+            }
             // The server had closed the idle connection. Nothing was sent, so another one is tried.
             Err((Some(unsent), _)) if connection.reused => outbound = unsent,
             Err((Some(_), text)) => {
@@ -235,6 +244,7 @@
     response: http::Response<Incoming>,
     connection: Connection,
     guard: &mut InFlight<'_>,
+    deadline: Instant,
 ) -> Outcome {
     let names = state.platform.headers();
     let (head, mut body) = response.into_parts();
@@ -249,6 +259,12 @@
         return Outcome::Unknown("answer to another request".to_owned());
     }
     let not_run = head.headers.contains_key(&names.not_run);
+    let is_other = status == StatusCode::MISDIRECTED_REQUEST
+        && head
+            .headers
+            .get(&names.server)
+            .is_some_and(|id| id.as_bytes() != guard.id.as_bytes());
+    let not_run = not_run || is_other;
     let confirmed = head.headers.contains_key(&names.receipt);
     let encoded = head.headers.contains_key(CONTENT_ENCODING);
     if !not_run && (encoded || (status.is_success() && !confirmed)) {
@@ -256,7 +272,9 @@
         return Outcome::Unknown("answer without its receipt".to_owned());
     }
     let reuse = connection_reuse(&head.headers);
-    let content = match buffer_body(&mut body).await {
+    let declared_length = head.headers.get(CONTENT_LENGTH).cloned();
+    let mut memory = Reservation::new(Rc::clone(&state.body_memory));
+    let content = match buffer_body(&mut body, &mut memory).await {
         Ok(content) => content,
         Err(text) => {
             guard.finish(AttemptClass::Failed, load, 0);
@@ -268,7 +286,11 @@
         if matches!(content, Buffered::Complete(_)) {
             reuse.recycle(connection);
         }
-        return Outcome::NotRun(status);
+        return if is_other {
+            Outcome::OtherServer
+        } else {
+            Outcome::NotRun(status)
+        };
     }
     let class = if status.is_server_error() {
         AttemptClass::Failed
@@ -285,7 +307,12 @@
         }
         Buffered::Partial(start) => {
             guard.finish(class, load, start.len());
-            stream_body(start, body, connection)
+            let declared = declared_length.is_some();
+            if let Some(length) = declared_length {
+                headers.insert(CONTENT_LENGTH, length);
+            }
+            let limit = Limit::new(state, guard.id, guard.sent, deadline, declared);
+            stream_body(start, body, connection, limit)
         }
     };
     Outcome::Response(ServerResponse {
@@ -301,8 +328,8 @@
     Partial(Bytes),
 }
 
-/// Reads a body to its end, or until it exceeds [`MAX_BUFFERED_BYTES`].
-async fn buffer_body(body: &mut Incoming) -> Result<Buffered, String> {
+/// Reads a body to its end, or until it exceeds [`MAX_BUFFERED_BYTES`] or the memory that is left.
+async fn buffer_body(body: &mut Incoming, memory: &mut Reservation) -> Result<Buffered, String> {
     let mut first: Option<Bytes> = None;
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -319,8 +346,14 @@
                 rest.extend_from_slice(&data);
             }
         }
-        if rest.len() > MAX_BUFFERED_BYTES {
-            return Ok(Buffered::Partial(rest.freeze()));
+        let read = rest.len().max(first.as_ref().map_or(0, Bytes::len));
+        if read > MAX_BUFFERED_BYTES || !memory.grow_to(read) {
+            let start = if rest.is_empty() {
+                first.unwrap_or_default()
+            } else {
+                rest.freeze()
+            };
+            return Ok(Buffered::Partial(start));
         }
     }
     if rest.is_empty() {
@@ -335,13 +368,53 @@
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
 }
 
+/// Limit on the time that a response body may take, for a server that sends without end.
+struct Limit {
+    fleet: Rc<RefCell<Fleet>>,
+    server: String,
+    end: Instant,
+}
+
+impl Limit {
+    /// Limits a body to the time for which the caller waits, and to twice that time if the server
+    /// declared its length: a late response is still delivered.
+    fn new(state: &State, server: &str, sent: Instant, deadline: Instant, declared: bool) -> Self {
+        let wait = deadline.saturating_duration_since(sent);
+        Self {
+            fleet: Rc::clone(&state.fleet),
+            server: server.to_owned(),
+            end: if declared { deadline + wait } else { deadline },
+        }
+    }
+
+    /// Waits for the next frame of a body; `None` at its end.
+    async fn next_frame(&self, body: &mut Incoming) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let failure: BodyError = match tokio::time::timeout_at(self.end, body.frame()).await {
+            Ok(None) => return None,
+            Ok(Some(Ok(frame))) => return Some(Ok(frame)),
+            Ok(Some(Err(error))) => Box::new(error),
+            Err(_) => "the response did not end in time".into(),
+        };
+        log::warn!(
+            "event=response-cut server={} error=\"{failure}\"",
+            self.server
+        );
+        self.fleet.borrow_mut().record_failure(&self.server);
+        Some(Err(failure))
+    }
+}
+
 /// Returns a body that begins with `start` and forwards the rest of `body` as it arrives.
-fn stream_body(start: Bytes, body: Incoming, connection: Connection) -> Body {
+///
+/// A body that breaks off or exceeds the limit ends with an error, so that the caller does not take
+/// it for complete. The connection stays checked out of the pool until the body is dropped.
+fn stream_body(start: Bytes, body: Incoming, connection: Connection, limit: Limit) -> Body {
     let first = futures::stream::once(async move { Ok(Frame::data(start)) });
-    // The connection stays checked out of the pool until the body is dropped.
-    let rest = BodyStream::new(body).map(move |frame| {
-        let _in_use = &connection;
-        frame.map_err(|error| Box::new(error) as BodyError)
+    let rest = futures::stream::unfold(Some((body, connection, limit)), |stream| async move {
+        let (mut body, connection, limit) = stream?;
+        let frame = limit.next_frame(&mut body).await?;
+        let next = frame.is_ok().then_some((body, connection, limit));
+        Some((frame, next))
     });
     Box::pin(StreamBody::new(first.chain(rest)))
 }
--- /dev/null
+++ b/crates/edge/src/routed.rs
@@ -0,0 +1,575 @@
+//! Request with its route: chooses backend servers, sends, and retries within the limits.
+
+use std::collections::HashSet;
+use std::fmt::Write;
+use std::time::Duration;
+
+use http::StatusCode;
+use smallvec::SmallVec;
+use tarragon_dispatch::catalog::{Kind, Route};
+use tarragon_dispatch::denial::{Claim, Verdict};
+use tarragon_dispatch::fleet::{Criteria, Pick, Refusal};
+use tarragon_dispatch::poison::Fingerprint;
+use tarragon_dispatch::table;
+use tokio::time::Instant;
+
+use crate::relay::{self, CallerRequest, Outcome, ServerResponse};
+use crate::state::State;
+
+/// Fraction of the remaining time for which a request waits for a holder of its key.
+const KEY_WAIT_FRACTION: f64 = 0.4;
+/// Pause before a keyed request is retried, cut short when a key map or a backend server changes.
+const KEY_RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Default `Retry-After` of a request that was not run.
+pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Maximum number of sends of one request, including those that did not run it.
+const MAX_SENDS: u32 = 4;
+/// Maximum number of waits of one request for a connection; the relay limits the time of each.
+const MAX_CONNECTION_WAITS: u32 = 3;
+/// Remaining time below which a request is not retried.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
+
+/// Failure that the router reports itself, without a response to forward.
+#[derive(Clone, Copy, Debug)]
+pub struct Failure {
+    status: StatusCode,
+    reason: &'static str,
+    retry_after: Option<Duration>,
+}
+
+impl Failure {
+    /// Returns a failure that promises nothing about whether the request ran, unless the status
+    /// does.
+    #[must_use]
+    pub const fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Returns a refusal which guarantees that the request has not run and will not run.
+    #[must_use]
+    pub const fn not_run(reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            retry_after: Some(retry_after),
+        }
+    }
+}
+
+impl Failure {
+    /// Returns the status of the response.
+    #[must_use]
+    pub const fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Returns the reason, for the log and the body of the response.
+    #[must_use]
+    pub const fn reason(&self) -> &'static str {
+        self.reason
+    }
+
+    /// Returns the time after which the caller may send the request again.
+    #[must_use]
+    pub const fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+
+    /// Returns the outcome for the log and the metrics.
+    #[must_use]
+    pub fn outcome(&self) -> &'static str {
+        match self.status {
+            StatusCode::SERVICE_UNAVAILABLE => "not-run",
+            status if status.is_client_error() => "refused",
+            _ => "unknown",
+        }
+    }
+}
+
+/// Request with its route, and the progress of its sends.
+pub struct Request<'a> {
+    state: &'a State,
+    route: &'a Route,
+    service: &'a str,
+    content: CallerRequest,
+    key: Option<u16>,
+    fingerprint: Fingerprint,
+    started: Instant,
+    deadline: Instant,
+    tried: Vec<String>,
+    /// Number of sends after which the request may have run.
+    unknown_sends: u32,
+    /// Backend servers on which the request may have run.
+    may_have_run_on: HashSet<String>,
+    /// Backend servers that denied holding the key of this request.
+    denied_by: SmallVec<[String; 2]>,
+    sends: u32,
+    /// Whether a send is in progress.
+    sending: bool,
+    connection_waits: u32,
+    /// Fields for the log line of the request.
+    trace: String,
+}
+
+/// Appends fields to the log line of a request.
+fn append(trace: &mut String, text: std::fmt::Arguments<'_>) {
+    if let Err(error) = trace.write_fmt(text) {
+        log::debug!("event=trace-incomplete error=\"{error}\"");
+    }
+}
+
+/// Backend server that a request is sent to.
+struct Target {
+    pick: Pick,
+    /// Last key of the range that the server holds by the key map, if the request has a key.
+    range_to: Option<u16>,
+}
+
+impl Target {
+    /// Returns a server that was chosen among all of its service.
+    const fn any(pick: Pick) -> Self {
+        Self {
+            pick,
+            range_to: None,
+        }
+    }
+
+    fn claim<'a>(&'a self, service: &'a str, to: u16) -> Claim<'a> {
+        Claim {
+            service,
+            to,
+            server: &self.pick.id,
+            start_ms: self.pick.start_ms,
+        }
+    }
+}
+
+/// What a host knows of the holder of a key.
+#[derive(Default)]
+struct Found {
+    /// `None` if there is no holder that accepts requests.
+    holder: Option<Holder>,
+    /// Version of the key map.
+    version: (u64, u64),
+    /// Age of the key map, in milliseconds.
+    age_ms: u128,
+}
+
+/// Holder of a key by the key map.
+enum Holder {
+    /// It accepts requests.
+    Ready(Target),
+    /// It denied holding the key lately; the next holder is expected within this time.
+    Leaving(Duration),
+    /// It denied holding the key, and there is no news of another holder.
+    Denied,
+    /// Several attempts to reach it failed.
+    Unreachable,
+}
+
+/// Next step of a request after one send.
+enum Next {
+    Done(ServerResponse),
+    Fail(Failure),
+    Retry,
+}
+
+impl<'a> Request<'a> {
+    /// Creates a request of which nothing was sent, and chooses its service.
+    #[must_use]
+    pub fn new(
+        state: &'a State,
+        entry: &'a table::Entry,
+        content: CallerRequest,
+        key: Option<u16>,
+        fingerprint: Fingerprint,
+        started: Instant,
+        deadline: Instant,
+    ) -> Self {
+        let service = entry.next_service();
+        let trace = format!(
+            " route={} service={service} kind={:?} key={} catalog={} bytes_in={}",
+            entry.route.name,
+            entry.route.kind,
+            key.map_or_else(|| "-".to_owned(), |key| key.to_string()),
+            state.catalog_revision(),
+            content.body.len()
+        );
+        Self {
+            state,
+            route: &entry.route,
+            service,
+            content,
+            key,
+            fingerprint,
+            started,
+            deadline,
+            tried: Vec::new(),
+            unknown_sends: 0,
+            may_have_run_on: HashSet::new(),
+            denied_by: SmallVec::new(),
+            sends: 0,
+            sending: false,
+            connection_waits: 0,
+            trace,
+        }
+    }
+
+    /// Returns the fields of the request and of its sends for the log line.
+    #[must_use]
+    pub fn into_trace(self) -> String {
+        self.trace
+    }
+
+    /// Returns the failure of the request at its deadline.
+    #[must_use]
+    pub fn timed_out(&self) -> Failure {
+        if self.unknown_sends == 0 && !self.sending {
+            Failure::not_run("no time left", DEFAULT_RETRY_AFTER)
+        } else {
+            Failure::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        }
+    }
+
+    /// Sends the request until there is a final response.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response to forward. Only a refusal states that the request did not
+    /// run.
+    pub async fn run(&mut self) -> Result<ServerResponse, Failure> {
+        let state = self.state;
+        if state
+            .quarantine
+            .borrow()
+            .is_quarantined(self.fingerprint, state.now())
+        {
+            return Err(Failure::not_run(
+                "it crashed backend servers",
+                DEFAULT_RETRY_AFTER,
+            ));
+        }
+        let connections = self.connections();
+        let keyed = self.key.filter(|_| self.is_keyed());
+        if let Some(key) = keyed {
+            state.count_key(self.service, key);
+        }
+        state.with_budget(self.service, |budget| budget.record_request(state.now()));
+        loop {
+            let target = match keyed {
+                Some(key) => self.wait_for_holder(key).await?,
+                None => Target::any(self.select_server()?),
+            };
+            self.sends += 1;
+            self.sending = true;
+            let sent = Instant::now();
+            let pick = &target.pick;
+            let outcome = relay::send(state, &self.content, pick, connections, self.deadline).await;
+            self.sending = false;
+            state.metrics.count_send(outcome.name());
+            self.trace_send(pick, &outcome, sent);
+            self.record_claim(&target, &outcome);
+            match self.after_send(pick, outcome, keyed).await {
+                Next::Done(response) => return Ok(response),
+                Next::Fail(failure) => return Err(failure),
+                Next::Retry => {}
+            }
+            self.tried.push(target.pick.id);
+        }
+    }
+
+    /// Records whether the backend server confirmed what led the request to it.
+    fn record_claim(&mut self, target: &Target, outcome: &Outcome) {
+        let state = self.state;
+        let now = state.now();
+        let id = &target.pick.id;
+        if matches!(outcome, Outcome::OtherServer) {
+            log::info!("event=server-denied service={} server={id}", self.service);
+            state.fleet.borrow_mut().record_denial(id, now);
+            state.pool.close_idle(id);
+            return;
+        }
+        let Some(to) = target.range_to else {
+            return;
+        };
+        let claim = target.claim(self.service, to);
+        match outcome {
+            Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
+                log::info!(
+                    "event=keys-denied service={} to={to} server={id} born={}",
+                    self.service,
+                    target.pick.start_ms
+                );
+                state.denials.borrow_mut().record(&claim, now);
+                self.denied_by.push(id.clone());
+            }
+            Outcome::Response(_) => state.denials.borrow_mut().confirm(&claim),
+            _ => {}
+        }
+    }
+
+    fn is_keyed(&self) -> bool {
+        let catalog = self.state.catalog();
+        catalog
+            .service(self.service)
+            .is_some_and(|service| service.keyed)
+    }
+
+    fn connections(&self) -> u32 {
+        let catalog = self.state.catalog();
+        catalog
+            .service(self.service)
+            .map_or(1, |service| service.connections)
+    }
+
+    fn attempts(&self) -> usize {
+        usize::try_from(self.route.attempts).unwrap_or(usize::MAX)
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn trace_send(&mut self, pick: &Pick, outcome: &Outcome, sent: Instant) {
+        let detail = match outcome {
+            Outcome::Response(response) => response.status.as_u16().to_string(),
+            Outcome::NotRun(status) => status.as_u16().to_string(),
+            Outcome::Full | Outcome::OtherServer => "-".to_owned(),
+            Outcome::NotSent(text) | Outcome::Unknown(text) => format!("\"{text}\""),
+        };
+        append(
+            &mut self.trace,
+            format_args!(
+                " send={} server={} born={} result={} detail={detail} took_ms={}",
+                self.sends,
+                pick.id,
+                pick.start_ms,
+                outcome.name(),
+                sent.elapsed().as_millis()
+            ),
+        );
+    }
+
+    /// Selects one of the backend servers of the service.
+    fn select_server(&self) -> Result<Pick, Failure> {
+        let state = self.state;
+        let fleet = state.fleet.borrow();
+        let max_idle = self.content.max_idle();
+        let has_idle = |id: &str| state.pool.has_idle(id, max_idle);
+        let picked = fleet.pick(&self.criteria(), &has_idle, state.now());
+        picked.map_err(|refusal| match refusal {
+            Refusal::NoServer => self.failure("no backend server", DEFAULT_RETRY_AFTER),
+            Refusal::Overloaded(after) => self.failure("all backend servers are full", after),
+        })
+    }
+
+    fn criteria(&self) -> Criteria<'_> {
+        Criteria {
+            service: self.service,
+            tried: &self.tried,
+            remaining: self.time_left(),
+            objective: self.route.objective.saturating_sub(self.started.elapsed()),
+            priority: self.route.priority,
+            large_response: self.route.kind == Kind::Download,
+            request_bytes: self.content.body.len(),
+            random: rand::random(),
+        }
+    }
+
+    /// Waits until the key has a holder that accepts requests.
+    async fn wait_for_holder(&mut self, key: u16) -> Result<Target, Failure> {
+        let state = self.state;
+        let deadline = Instant::now() + self.time_left().mul_f64(KEY_WAIT_FRACTION);
+        loop {
+            let changed = state.keys_changed.notified();
+            let found = self.find_holder(key);
+            let wake = match found.holder {
+                Some(Holder::Ready(target)) => {
+                    self.trace_keys(found.version, found.age_ms);
+                    return self.admit(target);
+                }
+                Some(Holder::Unreachable) => {
+                    self.trace_keys(found.version, found.age_ms);
+                    let reason = "the key's backend server is unreachable";
+                    return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
+                }
+                Some(Holder::Denied) => {
+                    self.trace_keys(found.version, found.age_ms);
+                    let reason = "the key's backend server does not hold it";
+                    return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
+                }
+                Some(Holder::Leaving(time)) => deadline.min(Instant::now() + time),
+                None => deadline,
+            };
+            let waited = tokio::time::timeout_at(wake, changed).await;
+            if waited.is_err() && Instant::now() >= deadline {
+                self.trace_keys(found.version, found.age_ms);
+                return Err(self.failure("nobody holds the key", DEFAULT_RETRY_AFTER));
+            }
+        }
+    }
+
+    fn trace_keys(&mut self, (term, change): (u64, u64), age_ms: u128) {
+        append(
+            &mut self.trace,
+            format_args!(" keys={term}.{change} keys_age_ms={age_ms}"),
+        );
+    }
+
+    /// Refuses a request that was not sent yet if the holder of its key is too full.
+    fn admit(&self, target: Target) -> Result<Target, Failure> {
+        let state = self.state;
+        let fleet = state.fleet.borrow();
+        match fleet.retry_after(&target.pick.id, &self.criteria(), state.now()) {
+            Some(after) if self.sends == 0 => {
+                Err(self.failure("the key's backend server is full", after))
+            }
+            _ => Ok(target),
+        }
+    }
+
+    /// Returns what this host knows of the holder of a key.
+    fn find_holder(&self, key: u16) -> Found {
+        let state = self.state;
+        let now = state.now();
+        let found = state.with_key_map(self.service, |known| {
+            let range = known.map.find(key).filter(|range| range.held);
+            let age = now.since(known.received_at).as_millis();
+            (range.cloned(), known.map.version, age)
+        });
+        let Some((range, version, age_ms)) = found else {
+            return Found::default();
+        };
+        let holder = range.and_then(|range| {
+            let fleet = state.fleet.borrow();
+            let server = fleet.get(&range.holder.id)?;
+            let same = server.entry.start_ms == range.holder.start_ms;
+            if !same || !server.accepts_keyed(state.bounds.get().drain, now) {
+                return None;
+            }
+            if server.is_denied(now) {
+                return Some(Holder::Denied);
+            }
+            if server.is_unreachable(now) {
+                return Some(Holder::Unreachable);
+            }
+            let target = Target {
+                pick: server.pick(),
+                range_to: Some(range.to),
+            };
+            let claim = target.claim(self.service, range.to);
+            let denied_before = self.denied_by.contains(&target.pick.id);
+            let verdict = state.denials.borrow_mut().check(&claim, denied_before, now);
+            Some(match verdict {
+                Verdict::Send => Holder::Ready(target),
+                Verdict::Wait(until) => Holder::Leaving(until.since(now)),
+                Verdict::Refuse => Holder::Denied,
+            })
+        });
+        Found {
+            holder,
+            version,
+            age_ms,
+        }
+    }
+
+    /// Returns a refusal: not run if no send can have run the request, unknown otherwise.
+    fn failure(&self, reason: &'static str, after: Duration) -> Failure {
+        if self.unknown_sends > 0 {
+            return Failure::new(StatusCode::BAD_GATEWAY, reason);
+        }
+        let after = after.min(self.time_left() / 3);
+        Failure::not_run(reason, after)
+    }
+
+    /// Decides the next step after a send.
+    async fn after_send(&mut self, pick: &Pick, outcome: Outcome, key: Option<u16>) -> Next {
+        match outcome {
+            Outcome::Response(response) => self.after_response(pick, response),
+            Outcome::Full => {
+                self.sends -= 1;
+                self.connection_waits += 1;
+                if self.connection_waits < MAX_CONNECTION_WAITS {
+                    Next::Retry
+                } else {
+                    Next::Fail(self.failure("all connections are in use", DEFAULT_RETRY_AFTER))
+                }
+            }
+            Outcome::NotSent(_) if self.sends < MAX_SENDS => {
+                self.pause_for_keys(key).await;
+                Next::Retry
+            }
+            Outcome::NotSent(_) => {
+                Next::Fail(self.failure("backend server unreachable", DEFAULT_RETRY_AFTER))
+            }
+            Outcome::NotRun(_) | Outcome::OtherServer => {
+                if !self.take_retry() {
+                    return Next::Fail(self.failure("backend server refused", DEFAULT_RETRY_AFTER));
+                }
+                self.pause_for_keys(key).await;
+                Next::Retry
+            }
+            Outcome::Unknown(_) => {
+                let state = self.state;
+                let now = state.now();
+                state
+                    .quarantine
+                    .borrow_mut()
+                    .suspect(self.fingerprint, &pick.id, now);
+                self.unknown_sends += 1;
+                // The route's attempts limit the number of distinct backend servers. A keyed
+                // request has only one, so it may be sent there again.
+                self.may_have_run_on.insert(pick.id.clone());
+                let again = self.content.retryable
+                    && self.may_have_run_on.len() < self.attempts()
+                    && self.take_retry();
+                if again {
+                    self.pause_for_keys(key).await;
+                    Next::Retry
+                } else {
+                    let failure = Failure::new(StatusCode::BAD_GATEWAY, "answer lost");
+                    Next::Fail(failure)
+                }
+            }
+        }
+    }
+
+    /// Accepts a response, unless it is a server error that another backend server may avoid.
+    fn after_response(&mut self, pick: &Pick, response: ServerResponse) -> Next {
+        if response.status.is_success() {
+            self.state.quarantine.borrow_mut().clear(self.fingerprint);
+        }
+        if !response.status.is_server_error() || !self.content.retryable || self.key.is_some() {
+            return Next::Done(response);
+        }
+        self.may_have_run_on.insert(pick.id.clone());
+        if self.may_have_run_on.len() >= self.attempts() || !self.take_retry() {
+            return Next::Done(response);
+        }
+        self.unknown_sends += 1;
+        Next::Retry
+    }
+
+    /// Takes a retry from the budget if time and sends are left; returns whether it did.
+    fn take_retry(&self) -> bool {
+        let state = self.state;
+        self.sends < MAX_SENDS
+            && self.time_left() > MIN_TIME_LEFT
+            && state.with_budget(self.service, |budget| {
+                budget.try_retry(state.now(), state.host_count.get())
+            })
+    }
+
+    /// Waits for up to [`KEY_RETRY_PAUSE`] for a new holder if the request has a key.
+    async fn pause_for_keys(&self, key: Option<u16>) {
+        if key.is_some() {
+            let changed = self.state.keys_changed.notified();
+            // The holder is looked up again in either case.
+            let _ = tokio::time::timeout(KEY_RETRY_PAUSE, changed).await;
+        }
+    }
+}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -20,6 +20,8 @@
     pub first_start: bool,
     /// CPU share of the host, in cores.
     pub cores: f64,
+    /// Memory limit of the process, in bytes.
+    pub memory: usize,
     /// Listening address for callers.
     pub callers: SocketAddr,
     /// Listening address for the readiness probes of the platform's load balancer.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,6 +6,7 @@
 
 use tarragon_dispatch::budget::Budget;
 use tarragon_dispatch::catalog::Catalog;
+use tarragon_dispatch::denial::Denials;
 use tarragon_dispatch::fleet::{Change, Entry, Fleet, Location};
 use tarragon_dispatch::poison::{Fingerprint, Quarantine};
 use tarragon_dispatch::table::Table;
@@ -13,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::body;
 use crate::clock::Clock;
 use crate::keys::{Map, Patch, Received};
 use crate::metrics::Metrics;
@@ -38,7 +40,11 @@
     /// Connections that carry requests to backend servers.
     pub pool: Pool,
     /// Known backend servers, with their estimated load.
-    pub fleet: RefCell<Fleet>,
+    pub fleet: Rc<RefCell<Fleet>>,
+    /// Claims of the key maps that backend servers have denied.
+    pub denials: RefCell<Denials>,
+    /// Memory for the bodies of requests and responses.
+    pub body_memory: Rc<body::Memory>,
     /// Requests suspected or known to crash backend servers.
     pub quarantine: RefCell<Quarantine>,
     /// Number of hosts that share the retry budgets and the connection limits.
@@ -76,13 +82,16 @@
             regions: settings.regions.clone(),
         };
         let bounds = settings.bounds;
+        let body_memory = body::Memory::of_host(settings.memory);
         Self {
             settings,
             incarnation,
             platform,
             metrics: Metrics::new(),
             pool: Pool::default(),
-            fleet: RefCell::new(Fleet::new(location)),
+            fleet: Rc::new(RefCell::new(Fleet::new(location))),
+            denials: RefCell::default(),
+            body_memory,
             quarantine: RefCell::default(),
             host_count: Cell::new(ASSUMED_HOSTS),
             clock,
@@ -134,6 +143,14 @@
             catalog.version,
             catalog.routes.len()
         );
+        for unknown in &catalog.unknown {
+            log::warn!(
+                "event=catalog-value-unknown route={} field={} value={:?} revision={revision} handled_as=non-idempotent",
+                unknown.route,
+                unknown.field,
+                unknown.value
+            );
+        }
         self.metrics.count_state_change("catalog");
         self.catalog_revision.set(revision);
         *self.table.borrow_mut() = Rc::new(Table::new(&catalog));
@@ -235,6 +252,7 @@
             map.ranges.iter().filter(|range| range.held).count()
         );
         let received_at = self.now();
+        self.denials.borrow_mut().clear(service, 0, u16::MAX);
         maps.insert(service.to_owned(), Received { map, received_at });
         self.metrics.count_state_change("keys");
         self.keys_changed.notify_waiters();
@@ -255,6 +273,9 @@
         known.map.apply(patch);
         known.received_at = self.now();
         for change in &patch.changes {
+            self.denials
+                .borrow_mut()
+                .clear(service, change.from, change.to);
             log::info!(
                 "event=keys service={service} term={} change={} plan={} keys={}-{} server={} held={}",
                 patch.version.0,
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -1,6 +1,8 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 //! Minimal platform for tests, and store objects in its format.
 
+pub mod router;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,6 +30,7 @@
             request_id: name("x-request"),
             deadline: name("x-deadline"),
             expected_server: name("x-expect"),
+            server: name("x-server"),
             not_run: name("x-not-run"),
             receipt: name("x-receipt"),
             load: name("x-load"),
@@ -94,6 +97,7 @@
         regions: HashMap::new(),
         first_start: false,
         cores: 0.2,
+        memory: 160 * 1024 * 1024,
         callers: local(),
         ready: local(),
         control: local(),
