Let the next server give keys away when the busiest one cannot

The balance picked the busiest server only; its excess was one hot key, which fits no other server, and the loop returned. Change: a server whose excess cannot move is skipped for this plan. If no range carries half of the excess, the heaviest lighter one moves.

--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -50,6 +50,9 @@
 const RETAINED_LOAD: f64 = 0.4;
 /// Maximum load of one piece of a leaving server's keys, relative to the mean load of a server.
 const MAX_PIECE: f64 = 0.34;
+/// Minimum load of a range that is moved because none carries enough of the load to be moved, in
+/// slots.
+const MIN_MOVED_LOAD: f64 = 0.2;
 /// Minimum and maximum load of a moved range, relative to the load to be moved.
 const MOVED_PART: (f64, f64) = (0.5, 1.15);
 
@@ -124,13 +127,12 @@
             .unwrap_or_default()
     }
 
-    fn most_utilized(&self) -> usize {
-        let by_utilization = |left: &usize, right: &usize| {
-            self.utilization(*left).total_cmp(&self.utilization(*right))
-        };
-        (0..self.loads.len())
-            .max_by(by_utilization)
-            .unwrap_or_default()
+    /// Returns the position in `servers` of the most utilized one.
+    fn most_utilized(&self, servers: &[usize]) -> Option<usize> {
+        (0..servers.len()).max_by(|left, right| {
+            let (left, right) = (servers[*left], servers[*right]);
+            self.utilization(left).total_cmp(&self.utilization(right))
+        })
     }
 
     /// Reassigns the keys of servers that no longer accept keys.
@@ -247,34 +249,47 @@
     }
 
     /// Moves load from the most to the least utilized servers.
+    ///
+    /// A server whose excess cannot move, such as that of a single hot key or of keys that moved
+    /// lately, does not keep the next ones from giving keys away.
     fn even_out_load(&mut self) {
+        let mut sources: Vec<usize> = (0..self.loads.len()).collect();
         for _ in 0..MAX_MOVES {
             let mean = self.mean_utilization();
-            let (source, target) = (self.most_utilized(), self.least_utilized());
-            let excess = self.utilization(source) - mean;
+            let target = self.least_utilized();
             let deficit = mean - self.utilization(target);
             let target_idle = self.utilization(target) < mean * UNDERLOAD_RATIO;
-            if excess < (mean * (OVERLOAD_RATIO - 1.0)).max(MIN_EXCESS) && !target_idle {
-                return;
-            }
-            let candidates = self.inputs.candidates;
-            let spare = deficit * candidates[target].capacity;
-            let surplus = if target_idle {
-                spare * 0.6
-            } else {
-                spare.min(excess * candidates[source].capacity)
-            };
-            let Some(range) = self.narrowest_range(source, surplus) else {
-                return;
+            let spare = deficit * self.inputs.candidates[target].capacity;
+            let found = loop {
+                let Some(position) = self.most_utilized(&sources) else {
+                    return;
+                };
+                let source = sources[position];
+                let excess = self.utilization(source) - mean;
+                if excess < (mean * (OVERLOAD_RATIO - 1.0)).max(MIN_EXCESS) && !target_idle {
+                    return;
+                }
+                let surplus = if target_idle {
+                    spare * 0.6
+                } else {
+                    spare.min(excess * self.inputs.candidates[source].capacity)
+                };
+                match self.range_to_move(source, surplus) {
+                    Some(range) => break (range, source),
+                    None => drop(sources.swap_remove(position)),
+                }
             };
+            let (range, source) = found;
             self.move_range(range, source, target);
         }
     }
 
-    /// Returns the narrowest movable range of a server's keys that carries about `surplus`.
-    fn narrowest_range(&self, index: usize, surplus: f64) -> Option<Range> {
+    /// Returns the movable range of a server's keys to move, with a load of about `surplus`: the
+    /// narrowest one, or the heaviest one if all are lighter.
+    fn range_to_move(&self, index: usize, surplus: f64) -> Option<Range> {
         let holder = &self.inputs.candidates[index].holder;
-        let mut best: Option<Range> = None;
+        let mut narrowest: Option<Range> = None;
+        let mut heaviest: Option<(f64, Range)> = None;
         for (position, segment) in self.segments.iter().enumerate() {
             let fixed = segment.fence == self.sequence || !(self.inputs.movable)(segment);
             if segment.holder != *holder || fixed {
@@ -287,17 +302,23 @@
                     to += 1;
                 }
                 let load = self.load(from, to);
-                let fits = load >= surplus * MOVED_PART.0 && load <= surplus * MOVED_PART.1;
-                if !fits {
+                if load > surplus * MOVED_PART.1 {
+                    continue;
+                }
+                let range = Range { position, from, to };
+                if load < surplus * MOVED_PART.0 {
+                    if load > heaviest.map_or(MIN_MOVED_LOAD, |(highest, _)| highest) {
+                        heaviest = Some((load, range));
+                    }
                     continue;
                 }
                 let width = to - from;
-                if best.is_none_or(|best| width < best.to - best.from) {
-                    best = Some(Range { position, from, to });
+                if narrowest.is_none_or(|best| width < best.to - best.from) {
+                    narrowest = Some(range);
                 }
             }
         }
-        best
+        narrowest.or(heaviest.map(|(_, range)| range))
     }
 
     /// Splits a range off its segment and assigns it to `target`.
