--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -496,6 +496,12 @@
         self.present && self.status == Status::Ready && !self.superseded
     }
 
+    /// Returns whether a server that started later uses the address, so that this one has ended.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
     /// Returns whether attempts to reach the server failed, so that it is not tried now.
     #[must_use]
     pub fn is_unreachable(&self, now: Instant) -> bool {
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -15,6 +15,7 @@
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tarragon_model::time::Instant;
+use tarragon_owner::votes::Pledge;
 use tarragon_store::api::Api;
 use tarragon_store::error::Error;
 use tarragon_store::object::{Key, Version};
@@ -93,7 +94,7 @@
     pub incarnation: u64,
     /// Whether the granter has stepped down.
     pub vacant: bool,
-    /// Hosts whose majority can confirm the term while the granter does not reach the store.
+    /// Processes whose majority can confirm the term while the granter does not reach the store.
     #[serde(default)]
     pub voters: Vec<String>,
     /// Earlier granters that are not known to have stopped.
@@ -110,7 +111,7 @@
     pub address: SocketAddr,
     /// Incarnation of the process.
     pub incarnation: u64,
-    /// Hosts whose majority could confirm its term.
+    /// Processes whose majority could confirm its term.
     pub voters: Vec<String>,
 }
 
@@ -125,7 +126,16 @@
     Read(Result<Option<(Version, Record)>, Error>),
     /// Result of a claim of the record, with the version that it expected.
     Claimed(Version, Result<WriteOutcome<Record>, Error>),
-    Renewed(Result<WriteOutcome<Record>, Error>),
+    /// Result of a renewal.
+    Renewed {
+        /// When it was sent.
+        sent: Instant,
+        /// Number of its proposal of voters.
+        proposal: u64,
+        /// Voters that it was to write.
+        voters: Vec<String>,
+        result: Result<WriteOutcome<Record>, Error>,
+    },
 }
 
 enum Role {
@@ -154,6 +164,8 @@
 struct Peer {
     /// Name of the host; empty until the link is up.
     host: String,
+    /// Incarnation of its process.
+    incarnation: u64,
     /// Address that this host connected to, unless the other host opened the link.
     dialled: Option<SocketAddr>,
 }
@@ -172,6 +184,8 @@
     last_plan_read: Instant,
     /// Whether a read or a claim of the record is on its way.
     call_pending: bool,
+    /// Latest granter that this process has followed or been.
+    pledge: Pledge,
     /// Whether the process that the record names is known to have ended.
     granter_gone: bool,
     /// Processor of the strongest host, in cores, as the granter last reported it.
@@ -211,6 +225,7 @@
         last_read: Instant::ZERO,
         last_plan_read: now,
         call_pending: false,
+        pledge: Pledge::default(),
         granter_gone: false,
         max_cores: state.settings.cores.max(DEFAULT_MAX_CORES),
         last_dials: HashMap::new(),
@@ -321,6 +336,7 @@
             link,
             Peer {
                 host: String::new(),
+                incarnation: 0,
                 dialled: Some(address),
             },
         );
@@ -395,9 +411,9 @@
         let Role::Granting(elected) = &mut self.role else {
             return;
         };
-        let own = &self.state.settings.host;
-        let confirmed = elected.is_confirmed(own, now);
-        elected.drop_blocked_predecessors(own, now);
+        let own = process_id(&self.state.settings.host, self.state.incarnation);
+        let confirmed = elected.is_confirmed(&own, now);
+        elected.drop_blocked_predecessors(&own, now);
         for (service, update) in elected.grants.tick(confirmed) {
             match update {
                 Update::Map(map) => {
@@ -424,17 +440,20 @@
             .map(|p| p.process.clone())
             .collect();
         if now.since(elected.last_renewal) >= RENEWAL_INTERVAL && !elected.renewing {
-            elected.proposed_voters = elected.followers(own, now);
+            let voters = elected.followers(&own, now);
+            let proposal = elected.voters.propose(&voters);
             elected.last_renewal = now;
-            elected.renewal_sent = now;
             elected.renewing = true;
-            let (version, voters) = (elected.record_version, elected.proposed_voters.clone());
-            self.write_record(
-                version,
-                voters,
-                predecessors.clone(),
-                StoreResponse::Renewed,
-            );
+            let version = elected.record_version;
+            let written = voters.clone();
+            self.write_record(version, written, predecessors.clone(), move |result| {
+                StoreResponse::Renewed {
+                    sent: now,
+                    proposal,
+                    voters,
+                    result,
+                }
+            });
         }
         for process in predecessors {
             self.dial(process.address, now);
@@ -499,6 +518,12 @@
     }
 }
 
+/// Returns the identifier of a process as a voter. A restarted process has forgotten its pledge, so
+/// it is another voter.
+fn process_id(host: &str, incarnation: u64) -> String {
+    format!("{host}/{incarnation}")
+}
+
 fn host_count(hosts: usize) -> u32 {
     u32::try_from(hosts).unwrap_or(u32::MAX).max(1)
 }
--- a/crates/edge/src/election/elected.rs
+++ b/crates/edge/src/election/elected.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use tarragon_model::time::Instant;
+use tarragon_owner::votes::{self, Voters};
 use tarragon_store::object::Version;
 
 use super::{BLOCKED_TIME, CONFIRMATION_TTL, FREEZE_THRESHOLD, Process};
@@ -23,17 +24,15 @@
     pub(super) predecessors: Vec<Predecessor>,
     /// When the latest write to the store that confirmed the term was sent.
     pub(super) last_confirmed: Instant,
-    /// Hosts whose majority can confirm the term, as the store has them.
-    pub(super) voters: Vec<String>,
-    /// Followers, and when the latest heartbeat that each acknowledged was sent.
+    /// Processes whose majority can confirm the term.
+    pub(super) voters: Voters,
+    /// Following processes, and when the latest heartbeat that each acknowledged was sent.
     pub(super) acknowledged: HashMap<String, Instant>,
     /// Processor of the strongest host that reported, in cores.
     pub(super) max_cores: f64,
-    /// Voters that the renewal on its way writes.
-    pub(super) proposed_voters: Vec<String>,
     pub(super) last_tick: Instant,
-    /// When the renewal on its way was sent; zero if its result must not count.
-    pub(super) renewal_sent: Instant,
+    /// When the process last resumed after a freeze; renewals sent before confirm nothing.
+    pub(super) resumed_at: Instant,
     /// Whether the term was unconfirmed at the last tick.
     pub(super) paused: bool,
 }
@@ -47,13 +46,13 @@
 }
 
 impl Elected {
-    /// Returns this host and those that acknowledged a recent heartbeat.
+    /// Returns this process and those that acknowledged a recent heartbeat.
     pub(super) fn followers(&self, own: &str, now: Instant) -> Vec<String> {
         let recent = |at: &Instant| now.since(*at) < CONFIRMATION_TTL;
         let followers = self.acknowledged.iter().filter(|(_, at)| recent(at));
-        let mut hosts: Vec<String> = followers.map(|(host, _)| host.clone()).collect();
-        hosts.push(own.to_owned());
-        hosts
+        let mut processes: Vec<String> = followers.map(|(id, _)| id.clone()).collect();
+        processes.push(own.to_owned());
+        processes
     }
 
     /// Drops predecessors at least half of whose voters have followed this host for
@@ -64,9 +63,7 @@
     pub(super) fn drop_blocked_predecessors(&mut self, own: &str, now: Instant) {
         let followers = self.followers(own, now);
         for predecessor in &mut self.predecessors {
-            let voters = &predecessor.process.voters;
-            let here = voters.iter().filter(|host| followers.contains(host));
-            if here.count() * 2 >= voters.len().max(1) {
+            if votes::is_blocked(&predecessor.process.voters, &followers) {
                 predecessor.blocked_since.get_or_insert(now);
             } else {
                 predecessor.blocked_since = None;
@@ -96,14 +93,13 @@
             );
             self.last_confirmed = Instant::ZERO;
             self.acknowledged.clear();
-            self.renewal_sent = Instant::ZERO;
+            self.resumed_at = now;
             self.last_renewal = Instant::ZERO;
             self.renewing = false;
         }
         self.last_tick = now;
         let followers = self.followers(own, now);
-        let votes = self.voters.iter().filter(|host| followers.contains(host));
-        let majority = votes.count() * 2 > self.voters.len();
+        let majority = self.voters.has_majority(&followers);
         let confirmed = majority || now.since(self.last_confirmed) < CONFIRMATION_TTL;
         if self.paused == confirmed {
             self.paused = !confirmed;
@@ -112,6 +108,13 @@
         confirmed
     }
 
+    /// Notes that the store confirmed a renewal that was sent at `sent`.
+    pub(super) fn note_renewed(&mut self, sent: Instant) {
+        if sent >= self.resumed_at {
+            self.last_confirmed = self.last_confirmed.max(sent);
+        }
+    }
+
     /// Drops predecessors that have stopped.
     pub(super) fn drop_predecessors(&mut self, has_stopped: impl Fn(&Process) -> bool) {
         self.predecessors
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -5,7 +5,7 @@
 
 use tarragon_model::time::Instant;
 
-use super::{Followed, Participant, Peer, Process, Record, Role, heartbeat};
+use super::{Followed, Participant, Peer, Process, Record, Role, heartbeat, process_id};
 use crate::cluster::{CatchUp, Delta};
 use crate::peer::{Event, Frame};
 
@@ -34,7 +34,14 @@
         {
             self.granter_gone = true;
         }
-        self.peers.insert(link, Peer { host, dialled });
+        self.peers.insert(
+            link,
+            Peer {
+                host,
+                incarnation,
+                dialled,
+            },
+        );
         let hosts = self.hosts.len();
         if let Role::Granting(elected) = &mut self.role {
             let has_stopped =
@@ -83,8 +90,10 @@
                 entries,
                 changed,
             } => {
-                self.max_cores = max_cores;
                 self.on_heartbeat(link, (record_version, sent_us), hosts, state_age_ms);
+                if matches!(&self.role, Role::Following(followed) if followed.link == link) {
+                    self.max_cores = max_cores;
+                }
                 self.compare_revisions(link, state_age_ms, (catalog, entries, changed));
             }
             Frame::KeysPatch { service, patch } => {
@@ -113,7 +122,8 @@
                 served,
                 crashes,
             } => {
-                let host = self.peers.get(&link).map(|peer| peer.host.clone());
+                let peer = self.peers.get(&link);
+                let host = peer.map(|peer| process_id(&peer.host, peer.incarnation));
                 if let Role::Granting(elected) = &mut self.role
                     && let Some(host) = host
                 {
@@ -178,6 +188,7 @@
         let now = self.state.now();
         match &mut self.role {
             Role::Following(followed) if followed.link == link => {
+                self.pledge.follow(record_version);
                 followed.last_heartbeat = now;
                 followed.record_version = record_version;
                 followed.sent_us = sent_us;
@@ -194,7 +205,7 @@
             let same = self.peers.get(&link).is_some_and(|p| p.host == record.host);
             if same { 0 } else { version.0 }
         });
-        if record_version < newest {
+        if record_version < newest || !self.pledge.follow(record_version) {
             return;
         }
         log::info!(
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tarragon_model::time::Instant;
+use tarragon_owner::votes::Voters;
 use tarragon_store::api::Api;
 use tarragon_store::error::{Error, Kind};
 use tarragon_store::object::{Key, Version};
@@ -12,7 +13,7 @@
 use super::elected::{Elected, Predecessor};
 use super::{
     Participant, Process, RECORD_KEY, RENEWAL_TIMEOUT, Record, Role, StoreResponse,
-    WEAK_CORES_RATIO, WEAK_HOST_DELAY, deliver,
+    WEAK_CORES_RATIO, WEAK_HOST_DELAY, deliver, process_id,
 };
 use crate::granting::{self, Completion, Grants};
 use crate::keys::Map;
@@ -65,7 +66,12 @@
         match response {
             StoreResponse::Read(result) => self.on_read(result),
             StoreResponse::Claimed(expected, result) => self.on_claimed(expected, result),
-            StoreResponse::Renewed(result) => self.on_renewed(result),
+            StoreResponse::Renewed {
+                sent,
+                proposal,
+                voters,
+                result,
+            } => self.on_renewed(sent, (proposal, voters), result),
         }
     }
 
@@ -119,6 +125,10 @@
         }
     }
 
+    fn own_id(&self) -> String {
+        process_id(&self.state.settings.host, self.state.incarnation)
+    }
+
     /// Returns the granters up to version `expected` of the record that may still send commands.
     pub(super) fn predecessors(&self, expected: Version) -> Vec<Process> {
         let known = self.record.as_ref();
@@ -146,7 +156,7 @@
         }
         self.call_pending = true;
         let predecessors = self.predecessors(expected);
-        let voters = vec![self.state.settings.host.clone()];
+        let voters = vec![self.own_id()];
         self.write_record(expected, voters, predecessors, move |result| {
             StoreResponse::Claimed(expected, result)
         });
@@ -176,6 +186,7 @@
                 .collect::<Vec<_>>()
                 .join(",")
         );
+        self.pledge.follow(record_version.0);
         self.cluster.become_granter();
         let grants = Grants::new(
             self.state.clone(),
@@ -198,12 +209,11 @@
                 })
                 .collect(),
             last_confirmed: now,
-            voters: vec![self.state.settings.host.clone()],
+            voters: Voters::new(vec![self.own_id()]),
             acknowledged: HashMap::new(),
             max_cores: self.state.settings.cores,
-            proposed_voters: Vec::new(),
             last_tick: now,
-            renewal_sent: now,
+            resumed_at: now,
             paused: false,
         }));
         let announcement = Frame::Elected {
@@ -213,7 +223,12 @@
         self.links.broadcast(&announcement);
     }
 
-    pub(super) fn on_renewed(&mut self, result: Result<WriteOutcome<Record>, Error>) {
+    pub(super) fn on_renewed(
+        &mut self,
+        sent: Instant,
+        (proposal, voters): (u64, Vec<String>),
+        result: Result<WriteOutcome<Record>, Error>,
+    ) {
         let Role::Granting(elected) = &mut self.role else {
             return;
         };
@@ -221,19 +236,17 @@
         match result {
             Ok(WriteOutcome::Applied { version }) => {
                 elected.record_version = version;
-                elected.last_confirmed = elected.last_confirmed.max(elected.renewal_sent);
-                elected.voters = std::mem::take(&mut elected.proposed_voters);
+                elected.note_renewed(sent);
+                elected.voters.confirm(proposal, voters);
             }
-            Ok(WriteOutcome::Conflict { value, version }) => {
-                let own = value.as_ref().is_some_and(|record| {
-                    record.incarnation == self.state.incarnation && !record.vacant
-                });
-                if own {
-                    elected.record_version = version;
-                } else {
-                    self.demote("the store names another host");
+            Ok(WriteOutcome::Conflict { value, version }) => match value {
+                // An earlier renewal took effect whose response was lost.
+                Some(record) if record.incarnation == self.state.incarnation && !record.vacant => {
+                    elected.record_version = elected.record_version.max(version);
+                    elected.voters.confirm(proposal, record.voters);
                 }
-            }
+                _ => self.demote("the store names another host"),
+            },
             Ok(WriteOutcome::Unresolved) => log::warn!("event=term-renewal-unresolved"),
             Err(error) => log::warn!("event=term-renewal-failed error=\"{error}\""),
         }
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -159,11 +159,12 @@
         term: u64,
         sole_granter: bool,
     ) -> Self {
+        let timing = timing(&state);
         Self {
             state,
             api,
             completions,
-            pool: Rc::new(Pool::default()),
+            pool: Rc::new(command::pool(timing.response_timeout)),
             term,
             sole_granter,
             services: BTreeMap::new(),
@@ -432,13 +433,14 @@
             self.pool.clone(),
             self.completions.clone(),
         );
-        let (send_until, max_delay) = (self.send_until.clone(), self.timing().max_send_delay);
+        let (send_until, timing) = (self.send_until.clone(), self.timing());
         let service = name.to_owned();
         tokio::task::spawn_local(async move {
             let pending = command::Pending {
                 command: &command,
                 due_at: due,
-                max_delay,
+                max_delay: timing.max_send_delay,
+                response_timeout: timing.response_timeout,
                 send_until: &send_until,
             };
             let (outcome, sent) = command::send(&state, &pool, pending).await;
@@ -483,7 +485,11 @@
         outcome: &CommandOutcome,
         now: Instant,
     ) {
-        if matches!(outcome, CommandOutcome::Unknown | CommandOutcome::NotSent) {
+        let failed = !matches!(
+            outcome,
+            CommandOutcome::Done { .. } | CommandOutcome::StaleFence
+        );
+        if failed {
             let entry = self.failures.entry(command.server.id.clone());
             entry.or_insert((now, now)).1 = now;
         } else {
@@ -494,6 +500,7 @@
             CommandOutcome::StaleFence => "outdated",
             CommandOutcome::Unknown => "unknown",
             CommandOutcome::NotSent => "not-sent",
+            CommandOutcome::Refused => "refused",
         };
         let Some(service) = self.services.get_mut(name) else {
             return;
@@ -502,7 +509,8 @@
             return;
         };
         // On a host that is short of processor time, a grant may reach the wire long after it was
-        // handed to the connection. Now that the exchange has ended, it has certainly been sent.
+        // handed to the connection. Now that the exchange has ended, it has certainly been sent or
+        // was given up.
         let sent = sent.map(|_| now);
         let first = granter.record_outcome(command, due, sent, outcome);
         let action = match command.action {
@@ -631,10 +639,14 @@
     }
 
     fn timing(&self) -> Timing {
-        Timing::with_grant_duration(GRANT_DURATION.min(self.state.bounds.get().max_grant))
+        timing(&self.state)
     }
 }
 
+fn timing(state: &State) -> Timing {
+    Timing::with_grant_duration(GRANT_DURATION.min(state.bounds.get().max_grant))
+}
+
 impl Service {
     fn new(now: Instant) -> Self {
         Self {
@@ -670,15 +682,12 @@
     }
 }
 
-/// Returns [`Liveness::Dead`] if a later process of the same backend server has registered.
+/// Returns whether the process of a holder may still run, by what has registered since.
 fn liveness(fleet: &Fleet, holder: &Holder) -> Liveness {
-    let later = fleet
-        .get(&holder.id)
-        .is_some_and(|server| server.entry.start_ms > holder.start_ms);
-    if later {
-        Liveness::Dead
-    } else {
-        Liveness::MaybeAlive
+    match fleet.get(&holder.id) {
+        Some(server) if server.entry.start_ms > holder.start_ms => Liveness::Restarted,
+        Some(server) if server.is_superseded() => Liveness::Ended,
+        _ => Liveness::MaybeAlive,
     }
 }
 
--- a/crates/edge/src/granting/command.rs
+++ b/crates/edge/src/granting/command.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use tarragon_model::time::Instant;
 use tarragon_owner::granter::{Action, Command, CommandOutcome};
 
@@ -31,11 +32,25 @@
     pub due_at: Instant,
     /// Time after `due_at` within which a grant must be sent; later it is not sent at all.
     pub max_delay: Duration,
+    /// Time without a response after which a grant is given up.
+    pub response_timeout: Duration,
     /// Until when no other host can be granter; grants are sent only before.
     pub send_until: &'a Cell<Instant>,
 }
 
-/// Sends a command; returns how it ended, and when it was sent if it was.
+/// Creates the pool of connections that carry commands.
+///
+/// The kernel gives up unacknowledged bytes like [`send`] does, also while the process is paused.
+#[must_use]
+pub fn pool(response_timeout: Duration) -> Pool {
+    Pool::new(response_timeout)
+}
+
+/// Sends a command; returns how it ended, and when it was sent if it may have been executed.
+///
+/// A grant without a response is given up: closing its connection discards what has not left the
+/// host, so it arrives soon or never. The idle connections to the same server are closed as well.
+/// The next grant needs a new connection then, and a server that cannot be reached gets none.
 pub async fn send(
     state: &State,
     pool: &Pool,
@@ -45,47 +60,51 @@
     let Some(addr) = address(state, command) else {
         return (CommandOutcome::NotSent, None);
     };
-    let timeout = match command.action {
-        Action::Grant => pending.max_delay,
-        Action::Release => RELEASE_TIMEOUT,
-    };
-    let deadline = tokio::time::Instant::now() + timeout;
-    let max_idle = match command.action {
-        Action::Grant => Duration::from_mins(1),
-        // The response to a release frees the keys, so a late response to an earlier command must
-        // not be taken for it.
-        Action::Release => Duration::ZERO,
-    };
-    let requirements = Requirements {
-        max_connections: MAX_CONNECTIONS,
-        max_idle,
-        deadline,
-    };
     let sent = Cell::new(None);
-    let exchange = exchange(state, pool, pending, &sent, addr, requirements);
-    let outcome = match tokio::time::timeout_at(deadline, exchange).await {
-        Ok(Ok(outcome)) => outcome,
-        Ok(Err(text)) => {
+    let outcome = match exchange(state, pool, pending, &sent, addr).await {
+        Ok(outcome) => outcome,
+        Err(text) => {
             log::debug!(
                 "event=command-failed server={} error=\"{text}\"",
                 command.server.id
             );
+            pool.close_idle(&command.server.id);
             CommandOutcome::Unknown
         }
-        Err(_) if sent.get().is_none() => CommandOutcome::NotSent,
-        Err(_) => CommandOutcome::Unknown,
     };
-    let sent = sent.get().filter(|_| outcome != CommandOutcome::NotSent);
+    let arrives = !matches!(outcome, CommandOutcome::NotSent | CommandOutcome::Refused);
+    let sent = sent.get().filter(|_| arrives);
     (outcome, sent)
 }
 
+/// Returns the requirements of a command for its connection.
+fn requirements(pending: &Pending<'_>, waited: Duration) -> Requirements {
+    let (max_idle, time) = match pending.command.action {
+        Action::Grant => (
+            Duration::from_mins(1),
+            pending.max_delay.saturating_sub(waited),
+        ),
+        // The response to a release frees the keys, so a late response to an earlier command must
+        // not be taken for it.
+        Action::Release => (Duration::ZERO, RELEASE_TIMEOUT),
+    };
+    Requirements {
+        max_connections: MAX_CONNECTIONS,
+        max_idle,
+        deadline: tokio::time::Instant::now() + time,
+    }
+}
+
 /// Returns the address to which a command goes.
 ///
 /// A grant is for one incarnation of a backend server. A release goes to the present one, whichever
-/// that is.
+/// that is. Nothing goes to an address that another server uses, which may hold keys of its own.
 fn address(state: &State, command: &Command) -> Option<SocketAddr> {
     let fleet = state.fleet.borrow();
     let server = fleet.get(&command.server.id)?;
+    if server.is_superseded() {
+        return None;
+    }
     let same = server.entry.start_ms == command.server.start_ms;
     (same || command.action == Action::Release).then_some(server.entry.addr)
 }
@@ -96,62 +115,95 @@
     pending: Pending<'_>,
     sent: &Cell<Option<Instant>>,
     addr: SocketAddr,
-    requirements: Requirements,
 ) -> Result<CommandOutcome, String> {
     let command = pending.command;
+    let response_timeout = match command.action {
+        Action::Grant => pending.response_timeout,
+        Action::Release => RELEASE_TIMEOUT,
+    };
     loop {
-        let mut connection = match pool.acquire(&command.server.id, addr, requirements).await {
-            Ok(connection) => connection,
-            Err(error) => {
+        let need = requirements(&pending, state.now().since(pending.due_at));
+        let acquired = pool.acquire(&command.server.id, addr, need);
+        let mut connection = match tokio::time::timeout_at(need.deadline, acquired).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) => {
                 log::debug!("event=command-not-sent error=\"{error}\"");
                 return Ok(CommandOutcome::NotSent);
             }
+            Err(_) => return Ok(CommandOutcome::NotSent),
         };
-        let now = state.now();
-        let too_late =
-            now > pending.send_until.get() || now.since(pending.due_at) > pending.max_delay;
-        if command.action == Action::Grant && too_late {
-            log::info!(
-                "event=grant-withheld server={} fence={} late_ms={} confirmed={}",
-                command.server.id,
-                command.fence,
-                now.since(pending.due_at).as_millis(),
-                now <= pending.send_until.get()
-            );
+        if is_withheld(state, &pending) {
             connection.recycle(None);
             return Ok(CommandOutcome::NotSent);
         }
-        sent.set(Some(now));
-        let response = match connection.send(request(state, command)).await {
-            Ok(response) => response,
-            Err((Some(_), _)) if connection.reused => continue,
-            Err((Some(_), _)) => return Ok(CommandOutcome::NotSent),
-            Err((None, text)) => return Err(text),
+        sent.set(Some(state.now()));
+        let exchanged = async {
+            let response = connection.send(request(state, command)).await?;
+            receive(state, command, response)
+                .await
+                .map_err(|text| (None, text))
         };
-        let names = state.platform.headers();
-        let status = response.status();
-        let handover = response
-            .headers()
-            .get(&names.handover)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned);
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
-        body.await.map_err(|error| error.to_string())?;
-        if command.action == Action::Grant {
-            connection.recycle(None);
+        match tokio::time::timeout(response_timeout, exchanged).await {
+            Ok(Ok(outcome)) => {
+                if command.action == Action::Grant {
+                    connection.recycle(None);
+                }
+                return Ok(outcome);
+            }
+            Ok(Err((Some(_), _))) if connection.reused => {}
+            Ok(Err((Some(_), _))) => return Ok(CommandOutcome::NotSent),
+            Ok(Err((None, text))) => return Err(text),
+            Err(_) => return Err("no response".to_owned()),
         }
-        return Ok(match status {
-            StatusCode::OK => CommandOutcome::Done { handover },
-            StatusCode::CONFLICT => CommandOutcome::StaleFence,
-            status => {
-                log::warn!(
-                    "event=command-refused server={} status={status}",
-                    command.server.id
-                );
+    }
+}
+
+/// Returns whether a grant must not be sent, as it is late or another host may be granter.
+fn is_withheld(state: &State, pending: &Pending<'_>) -> bool {
+    let now = state.now();
+    let late = now.since(pending.due_at);
+    let confirmed = now <= pending.send_until.get();
+    let withheld = !confirmed || late > pending.max_delay;
+    if pending.command.action == Action::Release || !withheld {
+        return false;
+    }
+    log::info!(
+        "event=grant-withheld server={} fence={} late_ms={} confirmed={confirmed}",
+        pending.command.server.id,
+        pending.command.fence,
+        late.as_millis()
+    );
+    true
+}
+
+async fn receive(
+    state: &State,
+    command: &Command,
+    response: Response<Incoming>,
+) -> Result<CommandOutcome, String> {
+    let status = response.status();
+    let handover = response
+        .headers()
+        .get(&state.platform.headers().handover)
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned);
+    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
+    body.await.map_err(|error| error.to_string())?;
+    Ok(match status {
+        StatusCode::OK => CommandOutcome::Done { handover },
+        StatusCode::CONFLICT => CommandOutcome::StaleFence,
+        status => {
+            log::warn!(
+                "event=command-refused server={} status={status}",
+                command.server.id
+            );
+            if status.is_client_error() {
+                CommandOutcome::Refused
+            } else {
                 CommandOutcome::Unknown
             }
-        });
-    }
+        }
+    })
 }
 
 fn request(state: &State, command: &Command) -> Request<Full<Bytes>> {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -22,7 +22,7 @@
 
 /// Timeout of connection establishment.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time for which sent bytes may stay unacknowledged before the connection is closed.
+/// Default time for which sent bytes may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -56,9 +56,15 @@
 }
 
 /// Connections of one host to all backend servers.
-#[derive(Default)]
 pub struct Pool {
     servers: RefCell<HashMap<String, Rc<Server>>>,
+    unacknowledged_timeout: Duration,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(UNACKNOWLEDGED_TIMEOUT)
+    }
 }
 
 /// Connections to one backend server.
@@ -103,6 +109,17 @@
 }
 
 impl Pool {
+    /// Creates a pool without connections.
+    ///
+    /// Sent bytes that stay unacknowledged for `unacknowledged_timeout` close their connection.
+    #[must_use]
+    pub fn new(unacknowledged_timeout: Duration) -> Self {
+        Self {
+            servers: RefCell::default(),
+            unacknowledged_timeout,
+        }
+    }
+
     /// Takes an idle connection to the backend server `id`, or opens one to `addr`.
     ///
     /// # Errors
@@ -125,7 +142,7 @@
                 });
             }
             if server.open.get() < server.limit(need.max_connections) {
-                return connect(server, addr).await;
+                return connect(server, addr, self.unacknowledged_timeout).await;
             }
             // An idle connection that this request may not use makes room for a new one.
             server.idle.borrow_mut().pop();
@@ -192,7 +209,11 @@
 }
 
 /// Opens a connection to a backend server.
-async fn connect(server: Rc<Server>, addr: SocketAddr) -> Result<Connection, Error> {
+async fn connect(
+    server: Rc<Server>,
+    addr: SocketAddr,
+    unacknowledged_timeout: Duration,
+) -> Result<Connection, Error> {
     let guard = OpenGuard::new(Rc::clone(&server));
     let failed = |text: String| Error::Connect {
         address: addr,
@@ -203,7 +224,8 @@
         .await
         .map_err(|_| failed("timeout".to_owned()))?
         .map_err(|error| failed(error.to_string()))?;
-    set_peer_options(&stream);
+    set_caller_options(&stream);
+    set_unacknowledged_timeout(&stream, unacknowledged_timeout);
     discard_unsent_on_close(&stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -226,7 +248,11 @@
 /// Sets TCP options that detect a peer that vanished without closing, or that stopped reading.
 pub fn set_peer_options(stream: &TcpStream) {
     set_caller_options(stream);
-    let result = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    set_unacknowledged_timeout(stream, UNACKNOWLEDGED_TIMEOUT);
+}
+
+fn set_unacknowledged_timeout(stream: &TcpStream, timeout: Duration) {
+    let result = SockRef::from(stream).set_tcp_user_timeout(Some(timeout));
     if let Err(error) = result {
         log::debug!("event=socket-option-failed error=\"{error}\"");
     }
--- a/crates/edge/tests/commands.rs
+++ b/crates/edge/tests/commands.rs
@@ -78,6 +78,7 @@
                 command: &command,
                 due_at: state.now(),
                 max_delay,
+                response_timeout: RESPONSE_TIME * 2,
                 send_until: &send_until,
             };
             command::send(&state, &pool, pending).await
@@ -128,6 +129,7 @@
         command: &command,
         due_at: state.now(),
         max_delay: RESPONSE_TIME,
+        response_timeout: RESPONSE_TIME * 2,
         send_until: &send_until,
     };
     let exchange = command::send(&state, &pool, pending);
@@ -135,3 +137,158 @@
     assert_eq!((outcome, sent), (CommandOutcome::NotSent, None));
     assert_eq!(reached.load(Ordering::SeqCst), 0);
 }
+
+/// Accepts connections, reads one command from each without responding, and returns how many
+/// connections its peer reset.
+async fn silent_backend() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let resets = Arc::new(AtomicUsize::new(0));
+    let counted = resets.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let resets = counted.clone();
+            tokio::spawn(async move {
+                let mut bytes = [0; 4_096];
+                let first = stream.read(&mut bytes).await;
+                assert!(first.is_ok_and(|read| read > 0), "a command");
+                let end = stream.read(&mut bytes).await;
+                // A peer that only closed its connection would still accept the first write.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                if end.is_err() || stream.write_all(b"x").await.is_err() {
+                    resets.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    (address, resets)
+}
+
+#[tokio::test]
+async fn a_grant_without_a_response_is_given_up_and_its_bytes_are_discarded() {
+    let (address, resets) = silent_backend().await;
+    let state = state();
+    state.update_server(entry_at("a", address), 1);
+    let response_timeout = Duration::from_millis(200);
+    let pool = command::pool(response_timeout);
+    let command = command(Action::Grant, 7);
+    let send_until = Cell::new(state.now() + Duration::from_secs(9));
+    let began = state.now();
+    let work = async {
+        for expected in 1..=2 {
+            let pending = Pending {
+                command: &command,
+                due_at: state.now(),
+                max_delay: RESPONSE_TIME,
+                response_timeout,
+                send_until: &send_until,
+            };
+            let (outcome, sent) = command::send(&state, &pool, pending).await;
+            assert_eq!(outcome, CommandOutcome::Unknown);
+            assert!(sent.is_some());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            assert_eq!(resets.load(Ordering::SeqCst), expected, "reset, not closed");
+        }
+    };
+    LocalSet::new().run_until(work).await;
+    assert!(state.now().since(began) < response_timeout * 4);
+}
+
+/// Answers every command with a status.
+async fn answering_backend(status: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut bytes = [0; 4_096];
+            if stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+                let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+                stream.write_all(text.as_bytes()).await.unwrap();
+            }
+        }
+    });
+    address
+}
+
+macro_rules! classifies {
+    ($name:ident, $status:literal, $executed:expr, $outcome:expr) => {
+        #[tokio::test]
+        async fn $name() {
+            let state = state();
+            state.update_server(entry_at("a", answering_backend($status).await), 1);
+            let pool = command::pool(RESPONSE_TIME);
+            let command = command(Action::Grant, 7);
+            let send_until = Cell::new(state.now() + RESPONSE_TIME);
+            let pending = Pending {
+                command: &command,
+                due_at: state.now(),
+                max_delay: RESPONSE_TIME,
+                response_timeout: RESPONSE_TIME,
+                send_until: &send_until,
+            };
+            let exchange = command::send(&state, &pool, pending);
+            let (outcome, sent) = LocalSet::new().run_until(exchange).await;
+            assert_eq!((outcome, sent.is_some()), ($outcome, $executed));
+        }
+    };
+}
+
+classifies!(
+    an_accepted_grant,
+    "200 OK",
+    true,
+    CommandOutcome::Done { handover: None }
+);
+classifies!(
+    a_grant_with_an_old_fence,
+    "409 Conflict",
+    true,
+    CommandOutcome::StaleFence
+);
+classifies!(
+    a_grant_that_another_server_refuses,
+    "421 Misdirected",
+    false,
+    CommandOutcome::Refused
+);
+classifies!(
+    a_grant_that_the_server_cannot_read,
+    "400 Bad Request",
+    false,
+    CommandOutcome::Refused
+);
+classifies!(
+    a_grant_whose_execution_is_unknown,
+    "500 Failed",
+    true,
+    CommandOutcome::Unknown
+);
+
+#[tokio::test]
+async fn no_command_goes_to_an_address_that_another_server_uses() {
+    let reached = Arc::new(AtomicUsize::new(0));
+    let address = backend(reached.clone()).await;
+    let state = state();
+    state.update_server(entry_at("a", address), 1);
+    let later = tarragon_dispatch::fleet::Entry {
+        start_ms: 2,
+        service: "t".to_owned(),
+        ..entry_at("b", address)
+    };
+    state.update_server(later, 2);
+    let pool = command::pool(RESPONSE_TIME);
+    let send_until = Cell::new(state.now() + RESPONSE_TIME);
+    for action in [Action::Grant, Action::Release] {
+        let pending = Pending {
+            command: &command(action, 7),
+            due_at: state.now(),
+            max_delay: RESPONSE_TIME,
+            response_timeout: RESPONSE_TIME,
+            send_until: &send_until,
+        };
+        let exchange = command::send(&state, &pool, pending);
+        let (outcome, _) = LocalSet::new().run_until(exchange).await;
+        assert_eq!(outcome, CommandOutcome::NotSent);
+    }
+    assert_eq!(reached.load(Ordering::SeqCst), 0);
+}
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -5,10 +5,12 @@
 
 use tarragon_model::time::Instant;
 
+use self::segment::{HoldBound, Phase, SegmentState};
 use crate::balance::{self, Candidate, Inputs};
 use crate::loads::Rates;
-use crate::plan::{Holder, Plan, PreviousHolder, Segment};
-use crate::sent_grants::SentGrants;
+use crate::plan::{Holder, Plan, Segment};
+
+mod segment;
 
 /// Intervals and timeouts of a granter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +21,12 @@
     pub renewal_interval: Duration,
     /// Maximum time between a grant becoming due and being sent; after that it is never sent.
     pub max_send_delay: Duration,
+    /// Time after which a grant without a response is given up: its connection is closed, and bytes
+    /// that have not left the host are discarded.
+    pub response_timeout: Duration,
+    /// Maximum time for which bytes that left the host are still on their way when a grant is given
+    /// up, or copies of them when its response arrives.
+    pub max_transit: Duration,
     /// Time after which a grant without a response is sent again.
     pub grant_retry: Duration,
     /// Time after which a release without a response is sent again. A release waits for running
@@ -37,22 +45,38 @@
         Self {
             grant_duration,
             renewal_interval: grant_duration / 4,
-            max_send_delay: Duration::from_millis(900),
-            grant_retry: Duration::from_millis(300),
+            max_send_delay: Duration::from_millis(600),
+            response_timeout: Duration::from_millis(450),
+            max_transit: Duration::from_millis(500),
+            grant_retry: Duration::from_millis(500),
             release_retry: Duration::from_millis(1_200),
-            clock_margin: grant_duration / 25 + Duration::from_millis(200),
+            clock_margin: grant_duration / 25 + Duration::from_millis(50),
             move_cooldown: Duration::from_millis(1_500),
         }
     }
 }
 
+impl Timing {
+    /// Returns the time after which a grant that became due can no longer arrive.
+    pub(crate) fn max_exchange(&self) -> Duration {
+        self.max_send_delay + self.response_timeout + self.max_transit
+    }
+
+    /// Returns the time for which a grant that has arrived may hold keys, by the granter's clock.
+    pub(crate) fn max_hold(&self) -> Duration {
+        self.grant_duration + self.clock_margin
+    }
+}
+
 /// Whether the process of a holder may still run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
     /// The process may still run.
     MaybeAlive,
-    /// The process is known to have ended.
-    Dead,
+    /// The process has ended, and a later one with the same identifier runs.
+    Restarted,
+    /// The process has ended. Commands to it reach nobody that executes them.
+    Ended,
 }
 
 /// Command to a backend server.
@@ -91,6 +115,8 @@
     },
     /// The command was not sent.
     NotSent,
+    /// The receiver states that it did not execute the command.
+    Refused,
     /// The backend server has seen a higher fencing token.
     StaleFence,
     /// It is unknown whether the command was, or will be, executed.
@@ -110,66 +136,8 @@
     RenewAfterStepDown,
     /// Computes the expiry of a grant from its due time instead of its send time.
     ExpiryFromDue,
-}
-
-/// Phase of the transfer of some keys to their holder.
-#[derive(Clone, Debug)]
-enum Phase {
-    /// The previous holder may still hold the keys.
-    Revoking(PreviousHolder, HoldBound),
-    /// The holder may be granted the keys.
-    Grantable,
-}
-
-/// Bound on how long a holder may hold keys.
-#[derive(Clone, Debug)]
-struct HoldBound {
-    /// Grants issued by this granter.
-    sent: SentGrants,
-    /// Whether an earlier granter may have sent grants under the same fencing token.
-    inherited: bool,
-}
-
-impl HoldBound {
-    /// Bound before any grant was issued.
-    fn none() -> Self {
-        Self {
-            sent: SentGrants::default(),
-            inherited: false,
-        }
-    }
-
-    /// Returns when the keys are certainly no longer held, or `None` while that is unknown.
-    fn expiry(&self, sole_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
-        let sent = self.sent.latest_expiry(timing);
-        if !self.inherited {
-            return Some(sent);
-        }
-        Some(
-            sent.max(
-                sole_since? + timing.max_send_delay + timing.grant_duration + timing.clock_margin,
-            ),
-        )
-    }
-}
-
-/// State of one segment of the current plan and of the commands sent for it.
-#[derive(Clone, Debug)]
-struct SegmentState {
-    segment: Segment,
-    phase: Phase,
-    handover: Option<String>,
-    /// How long the holder may hold the keys.
-    hold_bound: HoldBound,
-    /// Whether the holder has accepted a grant under this fencing token.
-    accepted: bool,
-    /// When the last command became due, until the server responds to it.
-    pending_since: Option<Instant>,
-    /// When the last accepted grant became due.
-    granted_at: Option<Instant>,
-    assigned_at: Instant,
-    /// Whether the holder has seen a higher fencing token.
-    stale_fence: bool,
+    /// Takes a grant that was given up for one that can no longer arrive.
+    IgnoreTransit,
 }
 
 /// Grants the keys of one service.
@@ -320,7 +288,7 @@
             // No grant was sent to the next holder yet, unless an earlier granter sent one.
             return !state.hold_bound.inherited
                 && !is_candidate
-                && liveness(holder) == Liveness::Dead;
+                && liveness(holder) != Liveness::MaybeAlive;
         }
         if !is_candidate {
             return true;
@@ -400,7 +368,7 @@
         let sole_since = self.sole_since;
         let mut commands = Vec::new();
         for state in &mut self.states {
-            state.update_phase(sole_since, &timing, seeded_fault, now);
+            state.update_phase(liveness, sole_since, &timing, seeded_fault, now);
             if state.is_due(liveness, &timing, now) {
                 commands.push(state.next_command(&timing, now));
             }
@@ -412,7 +380,7 @@
     /// time.
     ///
     /// `due_at` is the time at which [`Granter::commands`] returned the command. `sent_at` is a
-    /// time by which it had certainly been sent, or `None` if it was not sent.
+    /// time by which it had certainly been sent or was given up, or `None` if it was not sent.
     pub fn record_outcome(
         &mut self,
         command: &Command,
@@ -434,7 +402,13 @@
             if state.segment.from > command.to {
                 break;
             }
-            accepted |= state.record_outcome(command, (due_at, sent_at), outcome, &self.timing);
+            accepted |= state.record_outcome(
+                command,
+                (due_at, sent_at),
+                outcome,
+                &self.timing,
+                self.seeded_fault,
+            );
         }
         accepted
     }
@@ -445,173 +419,3 @@
         self.states.iter().any(|state| state.stale_fence)
     }
 }
-
-impl SegmentState {
-    /// Returns the state of a segment for which an earlier granter may have sent grants.
-    fn inherited(segment: &Segment, now: Instant) -> Self {
-        let hold_bound = HoldBound {
-            sent: SentGrants::default(),
-            inherited: true,
-        };
-        let phase = match &segment.previous {
-            None => Phase::Grantable,
-            Some(previous) => Phase::Revoking(previous.clone(), hold_bound.clone()),
-        };
-        Self {
-            segment: segment.clone(),
-            phase,
-            handover: None,
-            hold_bound,
-            accepted: false,
-            pending_since: None,
-            granted_at: None,
-            assigned_at: now,
-            stale_fence: false,
-        }
-    }
-
-    /// Returns the bound on how long any server may hold the keys.
-    fn current_hold_bound(&self) -> HoldBound {
-        match &self.phase {
-            Phase::Revoking(_, hold_bound) => hold_bound.clone(),
-            Phase::Grantable => self.hold_bound.clone(),
-        }
-    }
-
-    /// Returns the server that must give up the keys before another server is granted them.
-    fn holder_to_revoke(&self) -> PreviousHolder {
-        match &self.phase {
-            Phase::Revoking(previous, _) => previous.clone(),
-            Phase::Grantable => PreviousHolder {
-                holder: self.segment.holder.clone(),
-                fence: self.segment.fence,
-            },
-        }
-    }
-
-    /// Ends the wait for the previous holder once it no longer holds the keys.
-    ///
-    /// A restarted holder may have accepted a renewal that was meant for its earlier incarnation.
-    /// So the wait is skipped only if the same server is granted the keys again, under a higher
-    /// fencing token.
-    fn update_phase(
-        &mut self,
-        sole_since: Option<Instant>,
-        timing: &Timing,
-        seeded_fault: SeededFault,
-        now: Instant,
-    ) {
-        let Phase::Revoking(previous, hold_bound) = &self.phase else {
-            return;
-        };
-        let end = hold_bound.expiry(sole_since, timing);
-        let expired = end.is_some_and(|end| now > end);
-        let same_server = previous.holder.id == self.segment.holder.id;
-        if expired || same_server || seeded_fault == SeededFault::SkipWait {
-            self.phase = Phase::Grantable;
-            self.pending_since = None;
-        }
-    }
-
-    /// Returns whether a command should be sent now.
-    fn is_due(
-        &self,
-        liveness: &dyn Fn(&Holder) -> Liveness,
-        timing: &Timing,
-        now: Instant,
-    ) -> bool {
-        let retry = match &self.phase {
-            Phase::Revoking(..) => timing.release_retry,
-            Phase::Grantable => timing.grant_retry,
-        };
-        if self.pending_since.is_some_and(|at| now.since(at) < retry) || self.stale_fence {
-            return false;
-        }
-        match &self.phase {
-            // A grant that is sent after the release could be accepted by the next incarnation of
-            // the holder.
-            Phase::Revoking(_, hold_bound) => !hold_bound.sent.may_be_sent(now, timing),
-            Phase::Grantable if liveness(&self.segment.holder) == Liveness::Dead => false,
-            Phase::Grantable => self
-                .granted_at
-                .is_none_or(|at| now.since(at) >= timing.renewal_interval),
-        }
-    }
-
-    fn next_command(&mut self, timing: &Timing, now: Instant) -> Command {
-        self.pending_since = Some(now);
-        let (action, server) = match &self.phase {
-            Phase::Revoking(previous, _) => (Action::Release, previous.holder.clone()),
-            Phase::Grantable => {
-                self.hold_bound.sent.record_due(now, timing);
-                (Action::Grant, self.segment.holder.clone())
-            }
-        };
-        Command {
-            action,
-            server,
-            from: self.segment.from,
-            to: self.segment.to,
-            fence: self.segment.fence,
-            handover: self.handover.clone().filter(|_| !self.accepted),
-        }
-    }
-
-    fn record_outcome(
-        &mut self,
-        command: &Command,
-        (due_at, sent_at): (Instant, Option<Instant>),
-        outcome: &CommandOutcome,
-        timing: &Timing,
-    ) -> bool {
-        if command.action == Action::Grant {
-            self.record_sent(command, due_at, sent_at, timing);
-        }
-        if command.fence != self.segment.fence {
-            return false;
-        }
-        match (command.action, outcome) {
-            (Action::Release, CommandOutcome::Done { handover }) => {
-                if let Phase::Revoking(previous, _) = &self.phase
-                    && previous.holder == command.server
-                {
-                    self.phase = Phase::Grantable;
-                    self.handover.clone_from(handover);
-                    self.pending_since = None;
-                }
-                false
-            }
-            (Action::Grant, CommandOutcome::Done { .. }) => {
-                let first = !self.accepted;
-                self.accepted = true;
-                self.pending_since = None;
-                self.granted_at = Some(self.granted_at.map_or(due_at, |at| at.max(due_at)));
-                first
-            }
-            (Action::Grant, CommandOutcome::StaleFence) => {
-                self.stale_fence = true;
-                self.pending_since = None;
-                false
-            }
-            (_, CommandOutcome::NotSent | CommandOutcome::Unknown)
-            | (Action::Release, CommandOutcome::StaleFence) => false,
-        }
-    }
-
-    /// Records when a grant to the current or the previous holder was sent.
-    fn record_sent(
-        &mut self,
-        command: &Command,
-        due_at: Instant,
-        sent_at: Option<Instant>,
-        timing: &Timing,
-    ) {
-        if command.fence == self.segment.fence {
-            self.hold_bound.sent.record_sent(due_at, sent_at, timing);
-        } else if let Phase::Revoking(previous, hold_bound) = &mut self.phase
-            && previous.fence == command.fence
-        {
-            hold_bound.sent.record_sent(due_at, sent_at, timing);
-        }
-    }
-}
--- /dev/null
+++ b/crates/owner/src/granter/segment.rs
@@ -0,0 +1,244 @@
+//! State of one segment of a plan: who may hold its keys, and until when.
+
+use std::time::Duration;
+
+use tarragon_model::time::Instant;
+
+use super::{Action, Command, CommandOutcome, Liveness, SeededFault, Timing};
+use crate::plan::{Holder, PreviousHolder, Segment};
+use crate::sent_grants::SentGrants;
+
+/// Phase of the transfer of some keys to their holder.
+#[derive(Clone, Debug)]
+pub(super) enum Phase {
+    /// The previous holder may still hold the keys.
+    Revoking(PreviousHolder, HoldBound),
+    /// The holder may be granted the keys.
+    Grantable,
+}
+
+/// Bound on how long a holder may hold keys.
+#[derive(Clone, Debug)]
+pub(super) struct HoldBound {
+    /// Grants issued by this granter.
+    pub(super) sent: SentGrants,
+    /// Whether an earlier granter may have sent grants under the same fencing token.
+    pub(super) inherited: bool,
+}
+
+impl HoldBound {
+    /// Bound before any grant was issued.
+    pub(super) fn none() -> Self {
+        Self {
+            sent: SentGrants::default(),
+            inherited: false,
+        }
+    }
+
+    /// Returns when the keys are certainly no longer held, or `None` while that is unknown.
+    fn expiry(&self, sole_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
+        let sent = self.sent.latest_expiry(timing);
+        if !self.inherited {
+            return Some(sent);
+        }
+        let inherited = sole_since? + timing.max_exchange() + timing.max_hold();
+        Some(sent.max(inherited))
+    }
+}
+
+/// State of one segment of the current plan and of the commands sent for it.
+#[derive(Clone, Debug)]
+pub(super) struct SegmentState {
+    pub(super) segment: Segment,
+    pub(super) phase: Phase,
+    pub(super) handover: Option<String>,
+    /// How long the holder may hold the keys.
+    pub(super) hold_bound: HoldBound,
+    /// Whether the holder has accepted a grant under this fencing token.
+    pub(super) accepted: bool,
+    /// When the last command became due, until the server responds to it.
+    pub(super) pending_since: Option<Instant>,
+    /// When the last accepted grant became due.
+    pub(super) granted_at: Option<Instant>,
+    pub(super) assigned_at: Instant,
+    /// Whether the holder has seen a higher fencing token.
+    pub(super) stale_fence: bool,
+}
+
+impl SegmentState {
+    /// Returns the state of a segment for which an earlier granter may have sent grants.
+    pub(super) fn inherited(segment: &Segment, now: Instant) -> Self {
+        let hold_bound = HoldBound {
+            sent: SentGrants::default(),
+            inherited: true,
+        };
+        let phase = match &segment.previous {
+            None => Phase::Grantable,
+            Some(previous) => Phase::Revoking(previous.clone(), hold_bound.clone()),
+        };
+        Self {
+            segment: segment.clone(),
+            phase,
+            handover: None,
+            hold_bound,
+            accepted: false,
+            pending_since: None,
+            granted_at: None,
+            assigned_at: now,
+            stale_fence: false,
+        }
+    }
+
+    /// Returns the bound on how long any server may hold the keys.
+    pub(super) fn current_hold_bound(&self) -> HoldBound {
+        match &self.phase {
+            Phase::Revoking(_, hold_bound) => hold_bound.clone(),
+            Phase::Grantable => self.hold_bound.clone(),
+        }
+    }
+
+    /// Returns the server that must give up the keys before another server is granted them.
+    pub(super) fn holder_to_revoke(&self) -> PreviousHolder {
+        match &self.phase {
+            Phase::Revoking(previous, _) => previous.clone(),
+            Phase::Grantable => PreviousHolder {
+                holder: self.segment.holder.clone(),
+                fence: self.segment.fence,
+            },
+        }
+    }
+
+    /// Ends the wait for the previous holder once it no longer holds the keys.
+    ///
+    /// A restarted holder may have accepted a renewal that was meant for its earlier incarnation.
+    /// So the wait is skipped only if the same server is granted the keys again, under a higher
+    /// fencing token, or if the holder's process has ended and nothing can reach a later one.
+    pub(super) fn update_phase(
+        &mut self,
+        liveness: &dyn Fn(&Holder) -> Liveness,
+        sole_since: Option<Instant>,
+        timing: &Timing,
+        seeded_fault: SeededFault,
+        now: Instant,
+    ) {
+        let Phase::Revoking(previous, hold_bound) = &self.phase else {
+            return;
+        };
+        let end = hold_bound.expiry(sole_since, timing);
+        let expired = end.is_some_and(|end| now > end);
+        let same_server = previous.holder.id == self.segment.holder.id;
+        let ended = liveness(&previous.holder) == Liveness::Ended;
+        if expired || ended || same_server || seeded_fault == SeededFault::SkipWait {
+            self.phase = Phase::Grantable;
+            self.pending_since = None;
+        }
+    }
+
+    /// Returns whether a command should be sent now.
+    pub(super) fn is_due(
+        &self,
+        liveness: &dyn Fn(&Holder) -> Liveness,
+        timing: &Timing,
+        now: Instant,
+    ) -> bool {
+        let retry = match &self.phase {
+            Phase::Revoking(..) => timing.release_retry,
+            Phase::Grantable => timing.grant_retry,
+        };
+        if self.pending_since.is_some_and(|at| now.since(at) < retry) || self.stale_fence {
+            return false;
+        }
+        match &self.phase {
+            // A grant that is sent after the release could be accepted by the next incarnation of
+            // the holder.
+            Phase::Revoking(_, hold_bound) => !hold_bound.sent.may_be_sent(now, timing),
+            Phase::Grantable if liveness(&self.segment.holder) != Liveness::MaybeAlive => false,
+            Phase::Grantable => self
+                .granted_at
+                .is_none_or(|at| now.since(at) >= timing.renewal_interval),
+        }
+    }
+
+    pub(super) fn next_command(&mut self, timing: &Timing, now: Instant) -> Command {
+        self.pending_since = Some(now);
+        let (action, server) = match &self.phase {
+            Phase::Revoking(previous, _) => (Action::Release, previous.holder.clone()),
+            Phase::Grantable => {
+                self.hold_bound.sent.record_due(now, timing);
+                (Action::Grant, self.segment.holder.clone())
+            }
+        };
+        Command {
+            action,
+            server,
+            from: self.segment.from,
+            to: self.segment.to,
+            fence: self.segment.fence,
+            handover: self.handover.clone().filter(|_| !self.accepted),
+        }
+    }
+
+    pub(super) fn record_outcome(
+        &mut self,
+        command: &Command,
+        (due_at, sent_at): (Instant, Option<Instant>),
+        outcome: &CommandOutcome,
+        timing: &Timing,
+        seeded_fault: SeededFault,
+    ) -> bool {
+        if command.action == Action::Grant {
+            let transit = match seeded_fault {
+                SeededFault::IgnoreTransit => Duration::ZERO,
+                _ => timing.max_transit,
+            };
+            let arrived_at = sent_at.map(|at| at + transit);
+            self.record_sent(command, due_at, arrived_at, timing);
+        }
+        if command.fence != self.segment.fence {
+            return false;
+        }
+        match (command.action, outcome) {
+            (Action::Release, CommandOutcome::Done { handover }) => {
+                if let Phase::Revoking(previous, _) = &self.phase
+                    && previous.holder == command.server
+                {
+                    self.phase = Phase::Grantable;
+                    self.handover.clone_from(handover);
+                    self.pending_since = None;
+                }
+                false
+            }
+            (Action::Grant, CommandOutcome::Done { .. }) => {
+                let first = !self.accepted;
+                self.accepted = true;
+                self.pending_since = None;
+                self.granted_at = Some(self.granted_at.map_or(due_at, |at| at.max(due_at)));
+                first
+            }
+            (Action::Grant, CommandOutcome::StaleFence) => {
+                self.stale_fence = true;
+                self.pending_since = None;
+                false
+            }
+            (_, CommandOutcome::NotSent | CommandOutcome::Refused | CommandOutcome::Unknown)
+            | (Action::Release, CommandOutcome::StaleFence) => false,
+        }
+    }
+
+    /// Records when a grant to the current or the previous holder was sent.
+    fn record_sent(
+        &mut self,
+        command: &Command,
+        due_at: Instant,
+        sent_at: Option<Instant>,
+        timing: &Timing,
+    ) {
+        if command.fence == self.segment.fence {
+            self.hold_bound.sent.record_sent(due_at, sent_at, timing);
+        } else if let Phase::Revoking(previous, hold_bound) = &mut self.phase
+            && previous.fence == command.fence
+        {
+            hold_bound.sent.record_sent(due_at, sent_at, timing);
+        }
+    }
+}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod plan;
 mod sent_grants;
 pub mod speeds;
+pub mod votes;
--- a/crates/owner/src/sent_grants.rs
+++ b/crates/owner/src/sent_grants.rs
@@ -8,38 +8,39 @@
 /// last one expires.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SentGrants {
-    /// Latest expiry among the grants whose send time is known.
+    /// Latest expiry among the grants whose latest time of arrival is known.
     latest_confirmed: Option<Instant>,
-    /// Due times of the grants whose send time is not known yet.
+    /// Due times of the grants whose outcome is not known yet.
     unconfirmed: Vec<Instant>,
 }
 
 impl SentGrants {
     /// Records that a grant is due now.
     pub(crate) fn record_due(&mut self, now: Instant, timing: &Timing) {
-        // A grant whose outcome was never reported has been sent by now or never will be.
+        // A grant whose outcome was never reported has arrived by now or never will.
         while let Some(first) = self.unconfirmed.first().copied()
-            && now.since(first) > timing.max_send_delay
+            && now.since(first) > timing.max_exchange()
         {
             self.unconfirmed.remove(0);
-            self.extend(first + timing.max_send_delay, timing);
+            self.extend(first + timing.max_exchange(), timing);
         }
         self.unconfirmed.push(now);
     }
 
-    /// Records a time by which the grant due at `due_at` had been sent; `None` if it was not sent.
+    /// Records a time by which the grant due at `due_at` had arrived, or never will; `None` if it was
+    /// not sent.
     pub(crate) fn record_sent(
         &mut self,
         due_at: Instant,
-        sent_at: Option<Instant>,
+        arrived_at: Option<Instant>,
         timing: &Timing,
     ) {
         let Some(index) = self.unconfirmed.iter().position(|due| *due == due_at) else {
             return;
         };
         self.unconfirmed.remove(index);
-        if let Some(sent_at) = sent_at {
-            self.extend(sent_at, timing);
+        if let Some(arrived_at) = arrived_at {
+            self.extend(arrived_at, timing);
         }
     }
 
@@ -52,15 +53,14 @@
     /// Returns the time by which all of the grants have expired.
     pub(crate) fn latest_expiry(&self, timing: &Timing) -> Instant {
         let unconfirmed = self.unconfirmed.last();
-        let unconfirmed = unconfirmed
-            .map(|due| *due + timing.max_send_delay + timing.grant_duration + timing.clock_margin);
+        let unconfirmed = unconfirmed.map(|due| *due + timing.max_exchange() + timing.max_hold());
         self.latest_confirmed
             .max(unconfirmed)
             .unwrap_or(Instant::ZERO)
     }
 
-    fn extend(&mut self, sent_at: Instant, timing: &Timing) {
-        let end = sent_at + timing.grant_duration + timing.clock_margin;
+    fn extend(&mut self, arrived_at: Instant, timing: &Timing) {
+        let end = arrived_at + timing.max_hold();
         self.latest_confirmed = self.latest_confirmed.max(Some(end));
     }
 }
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Simulation of granters, a store and backend servers that runs random schedules of faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -12,6 +12,7 @@
 };
 use tarragon_owner::loads::Loads;
 use tarragon_owner::plan::{Holder, Plan};
+use tarragon_owner::votes::{self, Pledge, Voters};
 
 mod server;
 
@@ -31,15 +32,18 @@
 
 /// Maximum age of the latest proof that a granter is still elected, for it to send commands.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_300);
-/// Time for which a majority must follow a granter until all earlier granters have certainly
+/// Time for which half of its voters must follow a later granter until an earlier one has certainly
 /// stopped.
-const MAJORITY_TIME: Duration = Duration::from_millis(1_600);
+const BLOCKED_TIME: Duration = Duration::from_millis(1_600);
 /// Time between two steps of a granter above which it counts as having been frozen.
 const FREEZE_THRESHOLD: Duration = Duration::from_millis(700);
 
 /// Time after the check that a granter is still elected during which its grants may be sent.
 const SEND_WINDOW: Duration = Duration::from_millis(150);
 
+/// Time after which a release without a response is given up.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Fault that is put in on purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -51,6 +55,12 @@
     GrantBeforePlan,
     /// A new granter starts its fencing tokens over.
     FenceReused,
+    /// A command that was given up stays queued until the link works again.
+    KeepUnsent,
+    /// A voter returns to an earlier granter.
+    ForgetPledge,
+    /// A granter counts only the voters of the last write whose response arrived.
+    IgnoreProposals,
 }
 
 /// Host that can become the granter.
@@ -60,31 +70,46 @@
     frozen_until: Instant,
     unreachable_until: Instant,
     election_seen: (u64, Instant),
+    pledge: Pledge,
 }
 
 struct GranterState {
     granter: Granter,
     plan_version: u64,
-    predecessors: Vec<Process>,
+    predecessors: Vec<Predecessor>,
     planned: Instant,
     confirmed: Instant,
     ticked: Instant,
     term: u64,
-    majority_since: Option<Instant>,
+    voters: Voters,
 }
 
 /// Host index and incarnation of its process.
 type Process = (usize, u64);
 
+/// Returns the identifier of a process as a voter.
+fn voter((host, incarnation): Process) -> String {
+    format!("{host}/{incarnation}")
+}
+
+/// Earlier granter that is not known to have stopped.
+#[derive(Clone)]
+struct Predecessor {
+    process: Process,
+    voters: Vec<String>,
+    /// Since when no majority of its voters can confirm it.
+    blocked_since: Option<Instant>,
+}
+
 impl GranterState {
     /// Returns whether the granter is certainly still elected. After a freeze, only a new
     /// confirmation counts.
-    fn is_confirmed(&mut self, has_majority: bool, now: Instant) -> bool {
+    fn is_confirmed(&mut self, followers: &[String], now: Instant) -> bool {
         if now.since(self.ticked) > FREEZE_THRESHOLD {
             self.confirmed = Instant::ZERO;
         }
         self.ticked = now;
-        if has_majority {
+        if self.voters.has_majority(followers) {
             self.confirmed = now;
         }
         now.since(self.confirmed) < MAX_CONFIRMATION_AGE
@@ -92,7 +117,7 @@
 
     fn predecessor_stopped(&mut self, host: usize, now: Instant) {
         self.predecessors
-            .retain(|(predecessor, _)| *predecessor != host);
+            .retain(|predecessor| predecessor.process.0 != host);
         if self.predecessors.is_empty() {
             self.granter.confirm_sole(now);
         }
@@ -102,7 +127,8 @@
 /// The store: the granter election and the plan, each with its version.
 struct Store {
     election: (u64, Option<Process>),
-    predecessors: Vec<Process>,
+    voters: Vec<String>,
+    predecessors: Vec<Predecessor>,
     plan: (u64, Option<Plan>),
     down_until: Instant,
 }
@@ -110,11 +136,23 @@
 enum Event {
     /// A command that was due at the given time is sent, or dropped.
     Send(Process, Instant, Command),
-    /// A command with the given due and send times arrives at its server.
-    Arrive(Process, (Instant, Instant), Command),
+    /// A copy of a command arrives at its server.
+    Arrive(Sent),
+    /// The kernel of the sender gives up a command, and the sender does if it runs.
+    GiveUp(Sent),
     Outcome(Process, Command, Instant, Option<Instant>, CommandOutcome),
 }
 
+/// Command that was written to a connection.
+#[derive(Clone)]
+struct Sent {
+    number: u64,
+    process: Process,
+    /// When the command was due, and when it was sent.
+    times: (Instant, Instant),
+    command: Command,
+}
+
 /// State of the simulation.
 pub struct Simulation {
     rng: StdRng,
@@ -126,6 +164,8 @@
     events: BTreeMap<(Instant, u64), Event>,
     count: u64,
     delays_until: Instant,
+    /// Commands on connections that are open, by number.
+    open: BTreeSet<u64>,
     /// First violation of an invariant.
     pub violation: Option<String>,
     /// Number of grants that backend servers accepted.
@@ -144,6 +184,7 @@
             frozen_until: Instant::ZERO,
             unreachable_until: Instant::ZERO,
             election_seen: (0, start),
+            pledge: Pledge::default(),
         };
         Self {
             rng: StdRng::seed_from_u64(seed),
@@ -151,6 +192,7 @@
             now: start,
             store: Store {
                 election: (1, None),
+                voters: Vec::new(),
                 predecessors: Vec::new(),
                 plan: (1, None),
                 down_until: Instant::ZERO,
@@ -160,6 +202,7 @@
             events: BTreeMap::new(),
             count: 0,
             delays_until: Instant::ZERO,
+            open: BTreeSet::new(),
             violation: None,
             granted: 0,
             moved: 0,
@@ -217,7 +260,7 @@
         let duration = Duration::from_millis(self.rng.random_range(300..9_000));
         let host = self.rng.random_range(0..self.hosts.len());
         let server = self.rng.random_range(0..self.servers.len());
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..10) {
             0 => self.kill(host),
             1 => self.hosts[host].frozen_until = now + duration,
             2 => self.hosts[host].unreachable_until = now + duration,
@@ -226,6 +269,7 @@
             5 => self.servers[server].unreachable_until = now + duration,
             6 => self.servers[server].leaving = !self.servers[server].leaving,
             7 => self.delays_until = now + duration,
+            8 => self.servers[server].replace(now),
             _ => {
                 let granter = self
                     .hosts
@@ -240,6 +284,7 @@
         let killed = &mut self.hosts[host];
         killed.incarnation += 1;
         killed.granter_state = None;
+        killed.pledge = Pledge::default();
         killed.frozen_until = self.now + Duration::from_millis(400);
     }
 
@@ -255,7 +300,8 @@
             }
             match entry.remove() {
                 Event::Send(process, due_at, command) => self.send(process, due_at, command),
-                Event::Arrive(process, times, command) => self.deliver(process, times, command),
+                Event::Arrive(sent) => self.deliver(sent),
+                Event::GiveUp(sent) => self.give_up(sent),
                 Event::Outcome((host, incarnation), command, due_at, sent_at, outcome) => {
                     let host = &mut self.hosts[host];
                     if host.incarnation == incarnation
@@ -294,28 +340,85 @@
             );
             return;
         }
-        let latency = Duration::from_millis(self.rng.random_range(10..80));
-        self.push(latency, Event::Arrive(process, (due_at, now), command));
+        self.count += 1;
+        let sent = Sent {
+            number: self.count,
+            process,
+            times: (due_at, now),
+            command,
+        };
+        self.open.insert(sent.number);
+        // Copies arrive independently of each other, and after commands that were sent later.
+        let copies = if self.rng.random_bool(0.1) { 2 } else { 1 };
+        for _ in 0..copies {
+            let slow = self.rng.random_bool(0.2);
+            let range = if slow { 400..945 } else { 10..80 };
+            let latency = self.rng.random_range(range);
+            let latency = Duration::from_millis(latency);
+            self.push(latency, Event::Arrive(sent.clone()));
+        }
+        let timeout = if grant {
+            timing.response_timeout
+        } else {
+            RELEASE_TIMEOUT
+        };
+        self.push(timeout, Event::GiveUp(sent));
+    }
+
+    /// Closes the connection of a command that got no response.
+    ///
+    /// The kernel does so even while the host is frozen. The host notices when it runs again.
+    fn give_up(&mut self, sent: Sent) {
+        if !self.open.contains(&sent.number) {
+            return;
+        }
+        if self.fault != Fault::KeepUnsent {
+            self.open.remove(&sent.number);
+        }
+        let (host, _) = sent.process;
+        let frozen = self.hosts[host].frozen_until.since(self.now);
+        let noticed = self.now + frozen;
+        let outcome = Event::Outcome(
+            sent.process,
+            sent.command,
+            sent.times.0,
+            Some(noticed),
+            CommandOutcome::Unknown,
+        );
+        self.push(frozen, outcome);
     }
 
     /// Delivers a command to its server, which executes it now or later and may respond.
-    fn deliver(
-        &mut self,
-        process: Process,
-        (due_at, sent_at): (Instant, Instant),
-        command: Command,
-    ) {
+    ///
+    /// A command that cannot arrive stays queued at its sender while the connection is open. One
+    /// that left the host before the connection was closed still arrives for a limited time.
+    fn deliver(&mut self, sent: Sent) {
         let now = self.now;
+        let timing = Timing::with_grant_duration(GRANT_DURATION);
+        let Sent {
+            number,
+            process,
+            times: (due_at, sent_at),
+            command,
+        } = sent.clone();
         let index = self
             .servers
             .iter()
             .position(|server| server.id() == command.server.id);
         let Some(index) = index else { return };
-        let unreachable = now < self.servers[index].unreachable_until;
+        let open = self.open.contains(&number);
+        if now < self.servers[index].unreachable_until {
+            if open {
+                let retransmission = Duration::from_millis(self.rng.random_range(20..300));
+                self.push(retransmission, Event::Arrive(sent));
+            }
+            return;
+        }
+        let in_transit = now.since(sent_at) <= timing.response_timeout + timing.max_transit;
         // A connection breaks when its server restarts, so only commands sent later reach the new
         // process.
         let broken = self.servers[index].started > sent_at;
-        if unreachable || broken {
+        if broken || !(open || in_transit) {
             return;
         }
         let delayed = now < self.delays_until && self.rng.random_bool(0.4);
@@ -327,7 +430,8 @@
         }
         let (accepted, outcome) = self.execute(index, arrival, &command);
         self.granted += u64::from(accepted);
-        if self.rng.random_bool(0.97) {
+        let responds = self.rng.random_bool(0.97);
+        if responds && self.open.remove(&number) {
             self.push(
                 STEP,
                 Event::Outcome(process, command, due_at, Some(sent_at), outcome),
@@ -415,8 +519,15 @@
             return;
         }
         self.store.election = (version + 1, Some((index, incarnation)));
-        self.store.predecessors.retain(|(host, _)| *host != index);
-        self.store.predecessors.extend(holder.filter(|_| !own));
+        self.store.predecessors.retain(|p| p.process.0 != index);
+        let voters = std::mem::replace(&mut self.store.voters, vec![voter((index, incarnation))]);
+        let replaced = holder.filter(|_| !own).map(|process| Predecessor {
+            process,
+            voters,
+            blocked_since: None,
+        });
+        self.store.predecessors.extend(replaced);
+        self.hosts[index].pledge.follow(version + 1);
         let predecessors = self.store.predecessors.clone();
         let (plan_version, plan) = self.store.plan.clone();
         let first = plan.is_none();
@@ -450,18 +561,29 @@
             confirmed: self.now,
             ticked: self.now,
             term: version + 1,
-            majority_since: None,
+            voters: Voters::new(self.store.voters.clone()),
         });
     }
 
     fn renew_term(&mut self, index: usize) {
         let (version, holder) = self.store.election;
         if holder == Some((index, self.hosts[index].incarnation)) {
+            let followers = self.followers(index);
+            let lost = self.rng.random_bool(0.5);
             if let Some(granter_state) = &mut self.hosts[index].granter_state {
                 self.store
                     .predecessors
                     .clone_from(&granter_state.predecessors);
-                granter_state.confirmed = self.now;
+                self.store.voters.clone_from(&followers);
+                let proposal = if self.fault == Fault::IgnoreProposals {
+                    0
+                } else {
+                    granter_state.voters.propose(&followers)
+                };
+                if !lost {
+                    granter_state.voters.confirm(proposal, followers);
+                    granter_state.confirmed = self.now;
+                }
             }
             if self.rng.random_bool(0.05) {
                 self.store.election.0 = version + 1;
@@ -480,7 +602,8 @@
             let granter_state = host.granter_state.as_ref()?;
             let is_predecessor = granter_state
                 .predecessors
-                .contains(&(index, self.hosts[index].incarnation));
+                .iter()
+                .any(|p| p.process == (index, self.hosts[index].incarnation));
             let linked = self.now >= host.unreachable_until
                 && self.now >= self.hosts[index].unreachable_until;
             (is_predecessor && linked && self.now >= host.frozen_until).then_some(other)
@@ -507,6 +630,7 @@
         let ended: Vec<usize> = granter_state
             .predecessors
             .iter()
+            .map(|predecessor| predecessor.process)
             .filter(|(host, incarnation)| {
                 let other = &self.hosts[*host];
                 let ended = other.incarnation != *incarnation || other.granter_state.is_none();
@@ -514,7 +638,7 @@
                     now >= other.unreachable_until && now >= self.hosts[index].unreachable_until;
                 ended && linked && now >= other.frozen_until
             })
-            .map(|(host, _)| *host)
+            .map(|(host, _)| host)
             .collect();
         if let Some(granter_state) = &mut self.hosts[index].granter_state {
             for host in ended {
@@ -523,43 +647,58 @@
         }
     }
 
-    /// Returns whether a majority of the hosts, including the granter itself, follows a granter.
+    /// Returns the processes that follow a granter, including its own.
     ///
-    /// A host follows the latest granter that it hears from.
-    fn has_majority(&self, index: usize) -> bool {
-        let linked =
-            |host: &Host| self.now >= host.unreachable_until && self.now >= host.frozen_until;
-        if !linked(&self.hosts[index]) {
-            return false;
-        }
-        let later = self.hosts.iter().enumerate().any(|(other, host)| {
-            let later = host
-                .granter_state
-                .as_ref()
-                .map(|granter_state| granter_state.term)
-                > self.hosts[index]
-                    .granter_state
-                    .as_ref()
-                    .map(|granter_state| granter_state.term);
-            other != index && later && linked(host)
-        });
-        let votes = self.hosts.iter().enumerate().filter(|(other, host)| {
-            *other == index || (!later && host.granter_state.is_none() && linked(host))
-        });
-        votes.count() * 2 > self.hosts.len()
+    /// A host follows the latest granter that it hears from, and never returns to an earlier one.
+    fn followers(&mut self, index: usize) -> Vec<String> {
+        let now = self.now;
+        let linked = |host: &Host| now >= host.unreachable_until && now >= host.frozen_until;
+        let own = voter((index, self.hosts[index].incarnation));
+        let term = |host: &Host| host.granter_state.as_ref().map(|state| state.term);
+        let own_term = term(&self.hosts[index]);
+        let later = self
+            .hosts
+            .iter()
+            .enumerate()
+            .any(|(other, host)| other != index && term(host) > own_term && linked(host));
+        if later || !linked(&self.hosts[index]) {
+            return vec![own];
+        }
+        let forgets = self.fault == Fault::ForgetPledge;
+        let followers = self
+            .hosts
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(other, host)| {
+                let hears = other != index && host.granter_state.is_none() && linked(host);
+                let follows =
+                    hears && (host.pledge.follow(own_term.unwrap_or_default()) || forgets);
+                follows.then(|| voter((other, host.incarnation)))
+            });
+        followers.chain([own]).collect()
     }
 
-    /// Counts earlier granters as stopped once a majority has followed this one for long enough.
-    fn rule_out_predecessors(&mut self, index: usize, has_majority: bool) {
+    /// Counts earlier granters as stopped once their voters have followed this one for long enough.
+    fn rule_out_predecessors(&mut self, index: usize, followers: &[String]) {
         let now = self.now;
-        if let Some(granter_state) = &mut self.hosts[index].granter_state {
-            if !has_majority {
-                granter_state.majority_since = None;
-            } else if now.since(*granter_state.majority_since.get_or_insert(now)) >= MAJORITY_TIME {
-                granter_state.predecessors.clear();
-                granter_state.granter.confirm_sole(now);
+        let Some(granter_state) = &mut self.hosts[index].granter_state else {
+            return;
+        };
+        for predecessor in &mut granter_state.predecessors {
+            if votes::is_blocked(&predecessor.voters, followers) {
+                predecessor.blocked_since.get_or_insert(now);
+            } else {
+                predecessor.blocked_since = None;
             }
         }
+        granter_state.predecessors.retain(|predecessor| {
+            predecessor
+                .blocked_since
+                .is_none_or(|since| now.since(since) < BLOCKED_TIME)
+        });
+        if granter_state.predecessors.is_empty() {
+            granter_state.granter.confirm_sole(now);
+        }
     }
 
     fn grant(&mut self, index: usize, reaches_store: bool) {
@@ -569,14 +708,16 @@
             .iter()
             .map(|server| (server.id(), server.start_ms))
             .collect();
+        let ended: BTreeSet<String> = self.servers.iter().flat_map(Server::former_ids).collect();
         let liveness = |holder: &Holder| match incarnations.get(&holder.id) {
-            Some(start_ms) if *start_ms > holder.start_ms => Liveness::Dead,
+            Some(start_ms) if *start_ms > holder.start_ms => Liveness::Restarted,
+            None if ended.contains(&holder.id) => Liveness::Ended,
             _ => Liveness::MaybeAlive,
         };
-        let has_majority = self.has_majority(index);
-        self.rule_out_predecessors(index, has_majority);
+        let followers = self.followers(index);
+        self.rule_out_predecessors(index, &followers);
         if let Some(granter_state) = &mut self.hosts[index].granter_state
-            && !granter_state.is_confirmed(has_majority, now)
+            && !granter_state.is_confirmed(&followers, now)
         {
             return;
         }
@@ -621,8 +762,9 @@
             return;
         }
         for command in commands {
-            let slow = self.rng.random_bool(0.1);
-            let delay = self.rng.random_range(1..if slow { 1_100 } else { 120 });
+            let slow = self.rng.random_bool(0.2);
+            let range = if slow { 300..800 } else { 1..120 };
+            let delay = self.rng.random_range(range);
             let delay = Duration::from_millis(delay);
             self.push(delay, Event::Send((index, incarnation), now, command));
         }
@@ -652,9 +794,34 @@
         loads.rates(self.now)
     }
 
-    /// Checks that no two backend servers hold the same key.
+    /// Returns a granter that may still send commands although a later one has ruled it out.
+    fn ruled_out_granter(&self) -> Option<usize> {
+        let now = self.now;
+        let sends = |host: &Host, state: &GranterState| {
+            now >= host.frozen_until
+                && now.since(state.ticked) <= SEND_WINDOW
+                && now.since(state.confirmed) < MAX_CONFIRMATION_AGE
+        };
+        (0..self.hosts.len()).find(|index| {
+            let host = &self.hosts[*index];
+            let process = (*index, host.incarnation);
+            let Some(state) = &host.granter_state else {
+                return false;
+            };
+            let later = self.hosts.iter().filter_map(|h| h.granter_state.as_ref());
+            let mut later = later.filter(|other| other.term > state.term);
+            sends(host, state)
+                && later.any(|other| other.predecessors.iter().all(|p| p.process != process))
+        })
+    }
+
+    /// Checks that no two backend servers hold the same key, and that no granter that was ruled out
+    /// sends commands.
     fn check_invariants(&mut self) {
         let now = self.now;
+        if let Some(host) = self.ruled_out_granter() {
+            self.violation = Some(format!("host {host} still sends commands"));
+        }
         for index in 0..self.servers.len() {
             for (arrival, command) in self.servers[index].take_due(now) {
                 self.execute(index, arrival, &command);
--- a/crates/owner/tests/common/server.rs
+++ b/crates/owner/tests/common/server.rs
@@ -14,6 +14,8 @@
 /// Simulated backend server.
 pub struct Server {
     index: usize,
+    /// Number of earlier servers at the same address.
+    generation: u32,
     /// Start time of its current incarnation.
     pub start_ms: u64,
     /// When its current incarnation started.
@@ -34,6 +36,7 @@
     pub fn new(index: usize) -> Self {
         Self {
             index,
+            generation: 0,
             start_ms: 1,
             started: Instant::ZERO,
             leaving: false,
@@ -47,7 +50,21 @@
 
     /// Returns its identifier.
     pub fn id(&self) -> String {
-        format!("b{}", self.index)
+        format!("b{}.{}", self.index, self.generation)
+    }
+
+    /// Returns the identifiers of the servers that had its address before.
+    pub fn former_ids(&self) -> Vec<String> {
+        let earlier = 0..self.generation;
+        earlier
+            .map(|generation| format!("b{}.{generation}", self.index))
+            .collect()
+    }
+
+    /// Replaces the server by a new one at the same address.
+    pub fn replace(&mut self, now: Instant) {
+        self.generation += 1;
+        self.restart(now);
     }
 
     /// Returns its current incarnation.
--- a/crates/owner/tests/schedules.rs
+++ b/crates/owner/tests/schedules.rs
@@ -92,5 +92,12 @@
     expiry_computed_from_due_time_is_detected,
     Fault::Granter(SeededFault::ExpiryFromDue)
 );
+detects!(
+    bytes_that_arrive_after_the_grant_was_given_up_are_detected,
+    Fault::Granter(SeededFault::IgnoreTransit)
+);
+detects!(voter_that_returns_is_detected, Fault::ForgetPledge);
+detects!(ignored_proposals_are_detected, Fault::IgnoreProposals);
+detects!(unsent_bytes_that_are_kept_are_detected, Fault::KeepUnsent);
 detects!(grant_before_plan_is_detected, Fault::GrantBeforePlan);
 detects!(reused_fence_is_detected, Fault::FenceReused);
