Renew grants while the outcome of a plan's write is unknown

The store went down during the write of a plan; the granter dropped its state on the unresolved write and sent no renewal until it could read the plan again. Change: grants under the plan before are renewed, and no plan is written, until a read tells whether the write took effect. Nothing was granted under the unresolved plan, so a successor that reads it waits for the old holders. A conflict whose value could not be read is treated alike. granting was split; plans holds the store calls. Test: plans plays it against a store that goes away, with the write applied and not; both failed before (renewals go on).

--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -10,16 +10,14 @@
 use tarragon_dispatch::fleet::Fleet;
 use tarragon_model::time::Instant;
 use tarragon_owner::balance::Candidate;
-use tarragon_owner::granter::{
-    Action, Command, CommandOutcome, Granter, Liveness, PlanInputs, Timing,
-};
+use tarragon_owner::granter::{Action, Command, CommandOutcome, Granter, Liveness, Timing};
 use tarragon_owner::loads::Loads;
 use tarragon_owner::plan::{Holder, Plan};
 use tarragon_owner::speeds::Speeds;
 use tarragon_store::api::Api;
-use tarragon_store::error::{Error, Kind};
-use tarragon_store::object::{Key, Version};
-use tarragon_store::update::{Token, WriteOutcome, Writer};
+use tarragon_store::error::Error;
+use tarragon_store::object::Version;
+use tarragon_store::update::{Token, WriteOutcome};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::keys::{Map, Patch};
@@ -27,6 +25,7 @@
 use crate::state::State;
 
 pub mod command;
+mod plans;
 
 /// Kind of the store objects that hold a service's plan.
 pub const PLAN_KIND: &str = "tarragon-plans";
@@ -119,6 +118,9 @@
     plan_absent: bool,
     /// Whether a store call about the plan is on its way.
     call_pending: bool,
+    /// Whether the last write of a plan may have taken effect, or may still. Grants under the plan
+    /// before are renewed until the store tells.
+    write_unresolved: bool,
     /// Until when no store call is made after a failure, and the length of that pause.
     backoff: (Instant, Duration),
     loads: Loads,
@@ -294,56 +296,17 @@
         for command in commands {
             self.send(name, command, now);
         }
-        let due = self
-            .services
-            .get(name)
-            .is_some_and(|service| service.is_plan_due(now));
-        if due {
-            self.update_plan(name, now);
-        }
-    }
-
-    /// Writes the next plan to the store if keys should move.
-    fn update_plan(&mut self, name: &str, now: Instant) {
-        let candidates = self.candidates(name, now);
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
-        service.last_planned = now;
-        let fleet = self.state.fleet.borrow();
-        service.speeds.retain(|id| fleet.get(id).is_some());
-        drop(fleet);
-        service.loads.decay(now);
-        let work_ms = service.speeds.mean_ms();
-        let rates = service.loads.rates(now);
-        let Some(granter) = &service.granter else {
-            return;
-        };
-        let inputs = PlanInputs {
-            candidates: &candidates,
-            rates: &rates,
-            request_time_s: work_ms / 1_000.0,
-            min_sequence: service.version.0 + 1,
-        };
-        let fleet = self.state.fleet.borrow();
-        let liveness = |holder: &Holder| liveness(&fleet, holder);
-        let Some(plan) = granter.propose(&inputs, &liveness, now) else {
-            return;
-        };
-        drop(fleet);
-        let moved = plan.segments.iter().filter(|s| s.fence == plan.sequence);
-        let moved: u32 = moved.map(|s| u32::from(s.to - s.from) + 1).sum();
-        log::info!(
-            "event=plan service={name} sequence={} before={} segments={} keys_moved={moved} candidates={} rate={:.0} work_ms={work_ms:.0}",
-            plan.sequence,
-            granter.plan().sequence,
-            plan.segments.len(),
-            candidates.len(),
-            rates.total(0, u16::MAX)
-        );
-        service.call_pending = true;
-        let expected = service.version;
-        self.write_plan(name, plan, expected);
+        if service.write_unresolved {
+            if !service.call_pending && now >= service.backoff.0 {
+                service.call_pending = true;
+                self.read_plan(name);
+            }
+        } else if service.is_plan_due(now) {
+            self.update_plan(name, now);
+        }
     }
 
     /// Returns the backend servers that may get keys.
@@ -376,57 +339,6 @@
         })
     }
 
-    fn read_plan(&self, name: &str) {
-        let (state, api, completions) = (
-            self.state.clone(),
-            self.api.clone(),
-            self.completions.clone(),
-        );
-        let service = name.to_owned();
-        tokio::task::spawn_local(async move {
-            let read = api.get(Key::new(PLAN_KIND, &service), &state.stop).await;
-            let result = match read {
-                Ok(object) => object
-                    .decode::<Record>()
-                    .map(|record| Some((object.version, record))),
-                Err(error) if error.kind == Kind::NotFound => Ok(None),
-                Err(error) => Err(error),
-            };
-            deliver(&completions, Completion::Read { service, result });
-        });
-    }
-
-    fn write_plan(&self, name: &str, plan: Plan, expected: Version) {
-        let (state, api, completions) = (
-            self.state.clone(),
-            self.api.clone(),
-            self.completions.clone(),
-        );
-        let service = name.to_owned();
-        let record = Record {
-            token: format!("{:016x}{:016x}", state.incarnation, rand::random::<u64>()),
-            term: self.term,
-            plan: plan.clone(),
-        };
-        tokio::task::spawn_local(async move {
-            let key = Key::new(PLAN_KIND, &service);
-            let result = Writer::new(&*api)
-                .update(key, expected, &record, &state.stop)
-                .await;
-            state
-                .metrics
-                .count_store_call("write", result_name(&result));
-            deliver(
-                &completions,
-                Completion::Written {
-                    service,
-                    plan,
-                    result,
-                },
-            );
-        });
-    }
-
     fn send(&self, name: &str, command: Command, due: Instant) {
         let (state, pool, completions) = (
             self.state.clone(),
@@ -534,110 +446,6 @@
         }
     }
 
-    fn on_read(
-        &mut self,
-        name: &str,
-        result: Result<Option<(Version, Record)>, Error>,
-        now: Instant,
-    ) {
-        let timing = self.timing();
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        service.call_pending = false;
-        match result {
-            Ok(Some((version, record))) => {
-                log::info!(
-                    "event=plan-loaded service={name} version={version} sequence={} term={} sole_granter={}",
-                    record.plan.sequence,
-                    record.term,
-                    self.sole_granter
-                );
-                service.version = version;
-                service.changes += 1;
-                service.granter = Some(Granter::new(record.plan, self.sole_granter, timing, now));
-            }
-            Ok(None) => service.plan_absent = true,
-            Err(error) => {
-                service.back_off(now);
-                log::warn!("event=plan-read-failed service={name} error=\"{error}\"");
-            }
-        }
-    }
-
-    /// Writes the first plan of a service once the number of its backend servers is stable.
-    fn assign_first(&mut self, name: &str, now: Instant) {
-        let candidates = self.candidates(name, now);
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        if service.candidates.0 != candidates.len() {
-            service.candidates = (candidates.len(), now);
-        }
-        let stable = now.since(service.candidates.1) >= STABLE_TIME;
-        if candidates.is_empty() || !stable {
-            return;
-        }
-        let weights: Vec<_> = candidates
-            .into_iter()
-            .map(|candidate| (candidate.holder, candidate.capacity))
-            .collect();
-        service.call_pending = true;
-        self.write_plan(name, Plan::assign(&weights, 1), Version::ABSENT);
-    }
-
-    fn on_written(
-        &mut self,
-        name: &str,
-        plan: Plan,
-        result: Result<WriteOutcome<Record>, Error>,
-        now: Instant,
-    ) {
-        let (sole_granter, timing) = (self.sole_granter, self.timing());
-        let Some(service) = self.services.get_mut(name) else {
-            return;
-        };
-        service.call_pending = false;
-        match &result {
-            Ok(_) => service.backoff.1 = Duration::ZERO,
-            Err(_) => service.back_off(now),
-        }
-        // Whether this write or another one won, the store has a plan now.
-        service.plan_absent &= result.is_err();
-        match result {
-            Ok(WriteOutcome::Applied { version }) => {
-                service.version = version;
-                service.changes += 1;
-                match &mut service.granter {
-                    Some(granter) => granter.adopt(plan, now),
-                    // This is the service's first plan, so no earlier granter has granted anything.
-                    None => service.granter = Some(Granter::new(plan, true, timing, now)),
-                }
-            }
-            Ok(WriteOutcome::Conflict {
-                value: Some(record),
-                version,
-            }) if record.term == self.term => {
-                service.version = version;
-                if let Some(granter) = &mut service.granter {
-                    granter.adopt(record.plan, now);
-                }
-                service.changes += 1;
-            }
-            Ok(WriteOutcome::Conflict { version, .. }) => {
-                log::warn!(
-                    "event=plan-write-lost service={name} version={version} sole_granter={sole_granter}"
-                );
-                service.granter = None;
-            }
-            Ok(WriteOutcome::Unresolved) => {
-                log::warn!("event=plan-write-unresolved service={name}");
-                service.granter = None;
-            }
-            Err(error) => log::warn!("event=plan-write-failed service={name} error=\"{error}\""),
-        }
-    }
-
     fn timing(&self) -> Timing {
         timing(&self.state)
     }
@@ -654,6 +462,7 @@
             version: Version::ABSENT,
             plan_absent: false,
             call_pending: false,
+            write_unresolved: false,
             backoff: (now, Duration::ZERO),
             loads: Loads::new(now),
             speeds: Speeds::default(),
@@ -691,15 +500,6 @@
     }
 }
 
-fn result_name<T>(result: &Result<WriteOutcome<T>, Error>) -> &'static str {
-    match result {
-        Ok(WriteOutcome::Applied { .. }) => "won",
-        Ok(WriteOutcome::Conflict { .. }) => "lost",
-        Ok(WriteOutcome::Unresolved) => "unfinished",
-        Err(_) => "failed",
-    }
-}
-
 fn deliver(completions: &UnboundedSender<Completion>, completion: Completion) {
     if completions.send(completion).is_err() {
         log::debug!("event=completion-dropped reason=\"process ends\"");
