Give slow servers less than their share of keys

Cause: on calm seconds of hcs a tenth of the reads were late, most of them on servers at 1.5 times the mean processing time: at equal utilization their work alone takes most of the objective. Change: capacity falls with slowness to the power of 1.5.

--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -44,6 +44,9 @@
 const STABLE_TIME: Duration = Duration::from_millis(1_200);
 /// Time of failed commands after which a backend server gets no keys.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(1_200);
+/// Exponent of a server's slowness in its capacity. Above 1, a slow server gets less than its share,
+/// since its requests are nearer to their objective before they wait for others.
+const SLOWNESS_EXPONENT: f64 = 1.5;
 /// Fraction of its slots that a backend server counts with just after its start.
 const COLD_CAPACITY_RATIO: f64 = 0.5;
 /// Time for which a backend server counts as just started.
@@ -327,7 +330,7 @@
                     id: server.entry.id.clone(),
                     start_ms: server.entry.start_ms,
                 },
-                capacity: f64::from(server.entry.slots) * ratio / slowness,
+                capacity: f64::from(server.entry.slots) * ratio / slowness.powf(SLOWNESS_EXPONENT),
             }
         });
         candidates.collect()
