Keep renewing grants after the stop signal while nobody can take over

Change: a leaving granter steps down once the store is available; until then it renews to the end of the grace period, and the process waits for that. Grants last 3 s: a lost server's keys are free a second sooner.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -241,12 +241,18 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = state.leaving.cancelled(), if !participant.leaving => participant.step_down().await,
+            () = state.leaving.cancelled(), if !participant.leaving => {
+                participant.leaving = true;
+                participant.step_down_if_due().await;
+            }
             () = state.stop.cancelled() => return,
             Some(event) = events.recv() => participant.on_event(event),
             Some(response) = received_responses.recv() => participant.on_store_response(response),
             Some(completion) = received_completions.recv() => participant.on_completion(completion),
-            _ = ticks.tick() => participant.tick(),
+            _ = ticks.tick() => {
+                participant.tick();
+                participant.step_down_if_due().await;
+            }
         }
     }
 }
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -279,8 +279,13 @@
     /// Stops granting, as another host is the granter.
     pub(super) fn demote(&mut self, reason: &str) {
         log::warn!("event=granter-demoted reason=\"{reason}\"");
+        self.stop_granting();
+        self.record_seen = self.state.now();
+    }
+
+    pub(super) fn stop_granting(&mut self) {
         self.cluster.stop_granting();
+        self.state.is_granter.set(false);
         self.role = Role::Searching;
-        self.record_seen = self.state.now();
     }
 }
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -188,6 +188,7 @@
         );
         self.pledge.follow(record_version.0);
         self.cluster.become_granter();
+        self.state.is_granter.set(true);
         let grants = Grants::new(
             self.state.clone(),
             self.api.clone(),
@@ -258,10 +259,17 @@
         }
     }
 
-    /// Marks the record as vacant before this process ends, so that another host can claim it at
-    /// once.
-    pub(super) async fn step_down(&mut self) {
-        self.leaving = true;
+    /// Steps down before this process ends, once the store is available.
+    ///
+    /// Until then no other host could take over, so this one renews grants to its end.
+    pub(super) async fn step_down_if_due(&mut self) {
+        if self.leaving && !self.cluster.store_unavailable() {
+            self.step_down().await;
+        }
+    }
+
+    /// Marks the record as vacant, so that another host can claim it at once.
+    async fn step_down(&mut self) {
         let Role::Granting(elected) = &self.role else {
             return;
         };
@@ -271,8 +279,7 @@
             .iter()
             .map(|p| p.process.clone())
             .collect();
-        self.cluster.stop_granting();
-        self.role = Role::Searching;
+        self.stop_granting();
         let record = own_record(&self.state, true, Vec::new(), predecessors);
         let writer = Writer::new(&*self.api);
         let update = writer.update(RECORD_KEY, expected, &record, &self.state.stop);
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -31,7 +31,7 @@
 pub const PLAN_KIND: &str = "tarragon-plans";
 /// Duration of a grant, unless the platform's limit is lower. It is long enough for another host to
 /// become granter before the grant expires.
-const GRANT_DURATION: Duration = Duration::from_secs(4);
+const GRANT_DURATION: Duration = Duration::from_secs(3);
 /// Time for which grants may still be sent after the term was last found to be confirmed.
 const SEND_WINDOW: Duration = Duration::from_millis(150);
 /// Time between two checks whether keys should move.
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -146,7 +146,8 @@
     state.leaving.cancel();
     tokio::time::sleep(READINESS_DELAY.min(grace / 2)).await;
     state.drain.cancel();
-    while state.connections.get() > 0 && tokio::time::Instant::now() < end {
+    let in_use = || state.connections.get() > 0 || state.is_granter.get();
+    while in_use() && tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     log::info!(
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -57,6 +57,8 @@
     pub bounds: Cell<Bounds>,
     /// Number of open caller connections.
     pub connections: Cell<usize>,
+    /// Whether this process renews the grants of all keys.
+    pub is_granter: Cell<bool>,
     /// Cancelled on the stop signal: the process reports that it is not ready.
     pub leaving: CancellationToken,
     /// Cancelled when the process stops accepting caller connections.
@@ -100,6 +102,7 @@
             drain: CancellationToken::new(),
             bounds: Cell::new(bounds),
             connections: Cell::new(0),
+            is_granter: Cell::new(false),
             leaving: CancellationToken::new(),
             stop: CancellationToken::new(),
             catalog: RefCell::default(),
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! Minimal platform for tests, and store objects in its format.
 
 pub mod router;
+pub mod store;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/edge/tests/common/router.rs
+++ b/crates/edge/tests/common/router.rs
@@ -1,5 +1,6 @@
 //! Router that serves callers on a local socket, in front of backend servers that tests script.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -108,6 +109,31 @@
     }
 }
 
+/// Adds a backend server that accepts every command, and returns the number of commands.
+pub async fn add_holder(state: &State, id: &str) -> Rc<Cell<u32>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Rc::new(Cell::new(0));
+    let counted = count.clone();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = counted.clone();
+            tokio::task::spawn_local(async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    let length = header(&head, "content-length").unwrap_or("0");
+                    let mut body = vec![0; length.parse().unwrap()];
+                    stream.read_exact(&mut body).await.unwrap();
+                    count.set(count.get() + 1);
+                    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                    stream.write_all(response).await.unwrap();
+                }
+            });
+        }
+    });
+    state.update_server(entry_at(id, address), 1);
+    count
+}
+
 /// Connection of a caller.
 pub struct Caller(pub TcpStream);
 
--- /dev/null
+++ b/crates/edge/tests/common/store.rs
@@ -0,0 +1,144 @@
+//! Store in memory that goes away and comes back.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::Value;
+use tarragon_store::api::{Api, ResponseFuture};
+use tarragon_store::error::{Error, Kind, Operation};
+use tarragon_store::object::{Changes, Key, List, Object, Version};
+use tokio_util::sync::CancellationToken;
+
+/// What the store does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Serves,
+    /// Calls fail, and writes take effect or not.
+    Away {
+        applies: bool,
+    },
+}
+
+/// Store whose objects have one revision counter.
+pub struct Store {
+    mode: Mutex<Mode>,
+    objects: Mutex<BTreeMap<(String, String), (Version, Value)>>,
+    revision: Mutex<u64>,
+}
+
+impl Store {
+    pub fn new() -> Self {
+        Self {
+            mode: Mutex::new(Mode::Serves),
+            objects: Mutex::default(),
+            revision: Mutex::new(1),
+        }
+    }
+
+    pub fn set_mode(&self, mode: Mode) {
+        *self.mode.lock().unwrap() = mode;
+    }
+
+    fn mode(&self) -> Mode {
+        *self.mode.lock().unwrap()
+    }
+
+    fn error(kind: Kind) -> Error {
+        Error::new(Operation::Get, "object", "test", kind)
+    }
+
+    fn check_available(&self) -> Result<(), Error> {
+        if self.mode() == Mode::Serves {
+            Ok(())
+        } else {
+            Err(Self::error(Kind::Unavailable("away".to_owned())))
+        }
+    }
+
+    fn get(&self, key: Key<'_>) -> Result<Object, Error> {
+        self.check_available()?;
+        let objects = self.objects.lock().unwrap();
+        let found = objects.get(&(key.kind.to_owned(), key.name.to_owned()));
+        let (version, value) = found.ok_or_else(|| Self::error(Kind::NotFound))?;
+        Ok(Object {
+            kind: key.kind.to_owned(),
+            name: key.name.to_owned(),
+            version: *version,
+            value: value.clone(),
+        })
+    }
+
+    fn put(&self, key: Key<'_>, expected: Version, value: &Value) -> Result<Version, Error> {
+        let mut objects = self.objects.lock().unwrap();
+        let name = (key.kind.to_owned(), key.name.to_owned());
+        let known = objects
+            .get(&name)
+            .map_or(Version::ABSENT, |(version, _)| *version);
+        if known != expected && self.mode() == Mode::Serves {
+            return Err(Self::error(Kind::Conflict { version: known }));
+        }
+        let mut revision = self.revision.lock().unwrap();
+        *revision += 1;
+        if known == expected && self.mode() != (Mode::Away { applies: false }) {
+            objects.insert(name, (Version(*revision), value.clone()));
+        }
+        match self.mode() {
+            Mode::Serves => Ok(Version(*revision)),
+            Mode::Away { .. } => Err(Self::error(Kind::Uncertain("no response".to_owned()))),
+        }
+    }
+}
+
+impl Api for Store {
+    fn get<'a>(&'a self, key: Key<'a>, _: &'a CancellationToken) -> ResponseFuture<'a, Object> {
+        Box::pin(async move { self.get(key) })
+    }
+
+    fn list<'a>(&'a self, _: &'a str, _: &'a CancellationToken) -> ResponseFuture<'a, List> {
+        Box::pin(async {
+            self.check_available()?;
+            Ok(List {
+                revision: Version(*self.revision.lock().unwrap()),
+                items: Vec::new(),
+            })
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: Key<'a>,
+        expected: Version,
+        value: &'a Value,
+        _: &'a CancellationToken,
+    ) -> ResponseFuture<'a, Version> {
+        Box::pin(async move { self.put(key, expected, value) })
+    }
+
+    fn delete<'a>(
+        &'a self,
+        _: Key<'a>,
+        _: Version,
+        _: &'a CancellationToken,
+    ) -> ResponseFuture<'a, ()> {
+        Box::pin(async { Err(Self::error(Kind::NotFound)) })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _: &'a str,
+        after: Version,
+        wait: Duration,
+        _: &'a CancellationToken,
+    ) -> ResponseFuture<'a, Changes> {
+        Box::pin(async move {
+            self.check_available()?;
+            tokio::time::sleep(wait.min(Duration::from_millis(100))).await;
+            self.check_available()?;
+            Ok(Changes {
+                revision: after,
+                changes: Vec::new(),
+            })
+        })
+    }
+}
