Leave the granter's office to strong hosts, and join segments of a plan

With 79 hosts, each reads the record once a second; the 0.6 s that a weak host waits longer left it a fair chance. Plans had grown to 1,384 segments on 159 servers, each renewed on its own. Change: a weak host waits for the time of a read in addition. A plan that changes anyway joins neighboring segments of one holder under a new fence, which the holder accepts while it serves under the old one, and moves narrow segments without traffic to a neighbor's holder.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -292,8 +292,7 @@
 
     /// Looks for the granter in the store, and at hosts that may know it.
     fn search(&mut self, now: Instant) {
-        let interval = READ_INTERVAL * (self.state.host_count.get() / HOSTS_PER_READ).clamp(1, 8);
-        if !self.call_pending && now.since(self.last_read) >= interval {
+        if !self.call_pending && now.since(self.last_read) >= self.read_interval() {
             self.last_read = now;
             self.call_pending = true;
             self.read_record();
@@ -309,6 +308,11 @@
         }
     }
 
+    /// Returns the time between two reads of the record by this host while it searches.
+    fn read_interval(&self) -> Duration {
+        READ_INTERVAL * (self.state.host_count.get() / HOSTS_PER_READ).clamp(1, 8)
+    }
+
     /// Reads the plans of services whose key maps this host lacks.
     fn read_plans(&mut self, now: Instant) {
         if now.since(self.last_plan_read) < PLAN_READ_INTERVAL {
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -117,9 +117,12 @@
     }
 
     /// Returns how much longer than a strong host this one waits before it claims the record.
+    ///
+    /// The hosts read the record at different times, so a weak one also leaves the strong ones the
+    /// time of a read.
     pub(super) fn claim_delay(&self) -> Duration {
         if self.state.settings.cores < self.max_cores * WEAK_CORES_RATIO {
-            WEAK_HOST_DELAY
+            WEAK_HOST_DELAY + self.read_interval()
         } else {
             Duration::ZERO
         }
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -48,6 +48,12 @@
 /// Fraction of the faster server's current load that counts against it. Most of that load can be
 /// moved away later.
 const RETAINED_LOAD: f64 = 0.4;
+/// Number of segments for each server up to which light ones stay where they are.
+const SEGMENTS_PER_SERVER: usize = 3;
+/// Maximum number of light segments that one plan moves to a neighbor's holder.
+const MAX_FOLDS: usize = 16;
+/// Maximum load of such a segment, in slots.
+const MAX_FOLDED_LOAD: f64 = 0.05;
 /// Maximum load of one piece of a leaving server's keys, relative to the mean load of a server.
 const MAX_PIECE: f64 = 0.34;
 /// Minimum load of a range that is moved because none carries enough of the load to be moved, in
@@ -345,7 +351,89 @@
         self.changed = true;
     }
 
-    fn finish(self) -> Option<Plan> {
+    /// Moves the narrowest light segments to the holder of a neighboring one, once there are many.
+    ///
+    /// Moves for load leave ever smaller segments behind, each with its own renewals.
+    fn fold_fragments(&mut self) {
+        let limit = self.inputs.candidates.len() * SEGMENTS_PER_SERVER;
+        let excess = self.segments.len().saturating_sub(limit);
+        for _ in 0..excess.min(MAX_FOLDS) {
+            let Some((position, target)) = self.narrowest_fragment() else {
+                return;
+            };
+            let segment = self.segments[position].clone();
+            if let Some(source) = self.candidate(&segment.holder) {
+                self.loads[source] -= self.load(segment.from, segment.to);
+            }
+            self.assign(&segment, segment.from, segment.to, target);
+            if let Some(moved) = self.segments.pop() {
+                self.segments[position] = moved;
+            }
+        }
+    }
+
+    /// Returns the position of the narrowest light segment that is movable, and the candidate that
+    /// holds the keys before or after it.
+    fn narrowest_fragment(&self) -> Option<(usize, usize)> {
+        let mut narrowest: Option<(u16, usize, usize)> = None;
+        for (position, segment) in self.segments.iter().enumerate() {
+            let width = segment.to - segment.from;
+            let wider = narrowest.is_some_and(|(least, ..)| width >= least);
+            if wider || segment.fence == self.sequence {
+                continue;
+            }
+            let before = position.checked_sub(1).and_then(|at| self.segments.get(at));
+            let neighbors = before.into_iter().chain(self.segments.get(position + 1));
+            let mut targets = neighbors
+                .filter(|neighbor| neighbor.holder != segment.holder)
+                .filter_map(|neighbor| self.candidate(&neighbor.holder));
+            if let Some(target) = targets.next()
+                && self.load(segment.from, segment.to) <= MAX_FOLDED_LOAD
+                && (self.inputs.movable)(segment)
+            {
+                narrowest = Some((width, position, target));
+            }
+        }
+        narrowest.map(|(_, position, target)| (position, target))
+    }
+
+    /// Joins neighboring segments of the same holder: every segment is renewed on its own.
+    fn join_neighbors(&mut self) {
+        let segments = std::mem::take(&mut self.segments);
+        // Only a candidate that has accepted its keys has no former holder to wait for.
+        let movable = |segment: &Segment, sequence| {
+            segment.fence != sequence
+                && self.candidate(&segment.holder).is_some()
+                && (self.inputs.movable)(segment)
+        };
+        let mut joined: Vec<Segment> = Vec::with_capacity(segments.len());
+        for segment in segments {
+            let settled = movable(&segment, self.sequence);
+            match joined.last_mut() {
+                Some(last)
+                    if settled
+                        && last.holder == segment.holder
+                        && (last.joined_in(self.sequence) || movable(last, self.sequence)) =>
+                {
+                    *last = Segment {
+                        from: last.from,
+                        to: segment.to,
+                        fence: self.sequence,
+                        holder: segment.holder.clone(),
+                        previous: (self.inputs.previous)(&segment),
+                    };
+                }
+                _ => joined.push(segment),
+            }
+        }
+        self.segments = joined;
+    }
+
+    fn finish(mut self) -> Option<Plan> {
+        if self.changed {
+            self.join_neighbors();
+            self.fold_fragments();
+        }
         let plan = Plan {
             sequence: self.sequence,
             segments: self.segments,
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -5,7 +5,7 @@
 
 use tarragon_model::time::Instant;
 
-use self::segment::{HoldBound, Phase, SegmentState};
+use self::segment::{Phase, SegmentState};
 use crate::balance::{self, Candidate, Inputs};
 use crate::loads::Rates;
 use crate::plan::{Holder, Plan, Segment};
@@ -317,10 +317,11 @@
         self.plan = plan;
     }
 
-    /// Derives the state of a segment from the state of the segment that contained its keys before.
+    /// Derives the state of a segment from the states of those that contained its keys before.
     fn next_state(previous: &[SegmentState], segment: &Segment, now: Instant) -> SegmentState {
-        let index = previous.partition_point(|state| state.segment.to < segment.from);
-        let Some(predecessor) = previous.get(index) else {
+        let first = previous.partition_point(|state| state.segment.to < segment.from);
+        let last = previous.partition_point(|state| state.segment.from <= segment.to);
+        let Some(predecessor) = previous.get(first) else {
             return SegmentState::inherited(segment, now);
         };
         if predecessor.segment.fence == segment.fence {
@@ -329,27 +330,7 @@
                 ..predecessor.clone()
             };
         }
-        let phase = match &segment.previous {
-            None => Phase::Grantable,
-            Some(previous) => Phase::Revoking(previous.clone(), predecessor.current_hold_bound()),
-        };
-        let hold_bound = if predecessor.segment.holder.id == segment.holder.id {
-            // A new fencing token alone does not end the grants under the old one.
-            predecessor.current_hold_bound()
-        } else {
-            HoldBound::none()
-        };
-        SegmentState {
-            segment: segment.clone(),
-            phase,
-            handover: None,
-            hold_bound,
-            accepted: false,
-            pending_since: None,
-            granted_at: None,
-            assigned_at: now,
-            stale_fence: false,
-        }
+        SegmentState::following(&previous[first..last.max(first + 1)], segment, now)
     }
 
     /// Returns the commands that are due.
--- a/crates/owner/src/granter/segment.rs
+++ b/crates/owner/src/granter/segment.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Returns the bound of keys that have either this bound or `other`.
+    fn join(mut self, other: Self) -> Self {
+        self.sent.join(other.sent);
+        self.inherited |= other.inherited;
+        self
+    }
+
     /// Returns when the keys are certainly no longer held, or `None` while that is unknown.
     fn expiry(&self, sole_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
         let sent = self.sent.latest_expiry(timing);
@@ -89,6 +96,40 @@
         }
     }
 
+    /// Returns the state of a segment with a new fencing token, from the states of the segments that
+    /// contained its keys before. There are several only if all have the same holder.
+    pub(super) fn following(previous: &[Self], segment: &Segment, now: Instant) -> Self {
+        let bounds = previous.iter().map(Self::current_hold_bound);
+        let hold_bound = bounds
+            .reduce(HoldBound::join)
+            .unwrap_or_else(HoldBound::none);
+        let phase = match &segment.previous {
+            None => Phase::Grantable,
+            Some(previous) => Phase::Revoking(previous.clone(), hold_bound.clone()),
+        };
+        let same_server = |state: &Self| state.segment.holder.id == segment.holder.id;
+        let hold_bound = if previous.iter().any(same_server) {
+            // A new fencing token alone does not end the grants under the old one.
+            hold_bound
+        } else {
+            HoldBound::none()
+        };
+        // A holder that keeps its keys serves them under the old token until it has the new one.
+        let kept = |state: &Self| state.accepted && state.segment.holder == segment.holder;
+        let accepted = previous.iter().all(kept) && !previous.iter().any(|state| state.stale_fence);
+        Self {
+            segment: segment.clone(),
+            phase,
+            handover: None,
+            hold_bound,
+            accepted,
+            pending_since: None,
+            granted_at: None,
+            assigned_at: now,
+            stale_fence: false,
+        }
+    }
+
     /// Returns the bound on how long any server may hold the keys.
     pub(super) fn current_hold_bound(&self) -> HoldBound {
         match &self.phase {
--- a/crates/owner/src/plan.rs
+++ b/crates/owner/src/plan.rs
@@ -50,6 +50,14 @@
     pub segments: Vec<Segment>,
 }
 
+impl Segment {
+    /// Returns whether the plan `sequence` only joined segments of the same holder to this one.
+    pub(crate) fn joined_in(&self, sequence: u64) -> bool {
+        let kept = |previous: &PreviousHolder| previous.holder == self.holder;
+        self.fence == sequence && self.previous.as_ref().is_some_and(kept)
+    }
+}
+
 impl Plan {
     /// Assigns the keys, in proportion to the weights, to holders that hold none yet.
     ///
--- a/crates/owner/src/sent_grants.rs
+++ b/crates/owner/src/sent_grants.rs
@@ -44,6 +44,13 @@
         }
     }
 
+    /// Adds the grants of other keys.
+    pub(crate) fn join(&mut self, other: Self) {
+        self.latest_confirmed = self.latest_confirmed.max(other.latest_confirmed);
+        self.unconfirmed.extend(other.unconfirmed);
+        self.unconfirmed.sort_unstable();
+    }
+
     /// Returns whether a grant that is due may still be sent.
     pub(crate) fn may_be_sent(&self, now: Instant, timing: &Timing) -> bool {
         let last = self.unconfirmed.last();
--- a/crates/owner/tests/balance.rs
+++ b/crates/owner/tests/balance.rs
@@ -97,3 +97,61 @@
         assert_eq!(plan.find(5).unwrap().holder.id, "first");
     }
 }
+
+/// Returns a plan whose segments alternate between the candidates, and their number.
+fn fragmented_plan(candidates: &[Candidate], width: u16) -> Plan {
+    let count = u16::MAX / width;
+    let segments = (0..=count).map(|index| Segment {
+        from: index * width,
+        to: if index == count {
+            u16::MAX
+        } else {
+            (index + 1) * width - 1
+        },
+        fence: 1,
+        holder: candidates[usize::from(index) % candidates.len()]
+            .holder
+            .clone(),
+        previous: None,
+    });
+    Plan {
+        sequence: 1,
+        segments: segments.collect(),
+    }
+}
+
+#[test]
+fn light_fragments_are_folded_and_joined_while_load_moves() {
+    let candidates: Vec<_> = ["a", "b", "c", "d"].map(|id| candidate(id, 6.0)).into();
+    let mut plan = fragmented_plan(&candidates, 256);
+    let before = plan.segments.len();
+    // The hot keys wander, so that a plan is due each time.
+    for step in 0..60_u16 {
+        let mut loads = Loads::new(Instant::ZERO);
+        for key in step * 1_000..step * 1_000 + 8 {
+            loads.add(key, 8.0 * 1.5);
+        }
+        let rates = loads.rates(Instant::from_millis(60_000));
+        if let Some(next) = next(&plan, &candidates, &rates) {
+            assert!(next.covers_all_keys());
+            plan = next;
+        }
+    }
+    let after = plan.segments.len();
+    assert!(
+        after * 2 < before,
+        "{before} segments before, {after} after"
+    );
+}
+
+#[test]
+fn segments_of_one_holder_are_joined_under_one_fence() {
+    let candidates = [candidate("a", 6.0), candidate("b", 6.0)];
+    let mut plan = fragmented_plan(&candidates[..1], 20_000);
+    assert!(plan.segments.len() > 3);
+    plan = next(&plan, &candidates, &rates(9, 30.0)).expect("load moves to b");
+    assert!(plan.covers_all_keys());
+    for pair in plan.segments.windows(2) {
+        assert_ne!(pair[0].holder, pair[1].holder, "neighbors are joined");
+    }
+}
