Survive malformed frames, and end the process when a task it needs panics

Cause, from reading: a patch of the key map whose first key is after its last panicked in splice; the panic ended the election's task alone, and the process went on without it. A frame of another build closed the link each time. Change: such changes are skipped, unreadable frames are logged and skipped, and the process ends with an error when one of its main tasks panics. Tests: messages (property test over maps and patches, a raw link).

--- a/crates/edge/src/keys.rs
+++ b/crates/edge/src/keys.rs
@@ -114,8 +114,14 @@
     }
 
     /// Applies a patch to the map of the version that it names in `base`.
+    ///
+    /// Changes whose first key is after their last one are skipped.
     pub fn apply(&mut self, patch: &Patch) {
-        for change in &patch.changes {
+        for change in patch
+            .changes
+            .iter()
+            .filter(|change| change.from <= change.to)
+        {
             self.apply_change(change);
         }
         self.version = patch.version;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -343,7 +343,10 @@
                     Some(Err(error)) => return error.to_string(),
                     Some(Ok(Message::Binary(bytes))) => match decode(&bytes) {
                         Ok(frame) => self.handle_frame(link, frame).await,
-                        Err(text) => return text,
+                        // Another build may send frames that this one does not know.
+                        Err(text) => {
+                            log::warn!("event=frame-unreadable link={link} error=\"{text}\"");
+                        }
                     },
                     Some(Ok(_)) => {}
                 }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
-use tokio::task::LocalSet;
+use tokio::task::{JoinSet, LocalSet};
 
 use crate::cluster::{self, Cache};
 use crate::peer::Links;
@@ -59,6 +59,12 @@
         /// Cause of the failure.
         text: String,
     },
+    /// A task that the process needs has ended because of an internal error.
+    #[error("internal error: {text}; the process has to be started again")]
+    Task {
+        /// Description of the panic.
+        text: String,
+    },
 }
 
 /// Reads the settings again; the error text describes what is invalid.
@@ -111,16 +117,32 @@
     let cluster = Rc::new(Cache::default());
     let (events, incoming) = mpsc::channel(EVENT_QUEUE);
     let links = Links::new(state.clone(), events);
-    tokio::task::spawn_local(cluster::follow(state.clone(), cluster.clone(), api.clone()));
-    tokio::task::spawn_local(links.clone().serve(control));
-    tokio::task::spawn_local(election::run(state.clone(), cluster, links, api, incoming));
-    tokio::task::spawn_local(front::serve(state.clone(), callers));
-    tokio::task::spawn_local(serve_operators(state.clone(), ready));
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(cluster::follow(state.clone(), cluster.clone(), api.clone()));
+    tasks.spawn_local(links.clone().serve(control));
+    tasks.spawn_local(election::run(state.clone(), cluster, links, api, incoming));
+    tasks.spawn_local(front::serve(state.clone(), callers));
+    tasks.spawn_local(serve_operators(state.clone(), ready));
     if let Some(metrics) = metrics {
-        tokio::task::spawn_local(serve_operators(state.clone(), metrics));
+        tasks.spawn_local(serve_operators(state.clone(), metrics));
+    }
+    tasks.spawn_local(reload_changes(state.clone(), reload));
+    tokio::select! {
+        stopped = stop(&state) => stopped,
+        text = first_panic(tasks) => Err(Error::Task { text }),
+    }
+}
+
+/// Waits until a task panics. The process cannot do its work without one of them, so it ends and is
+/// started again.
+async fn first_panic(mut tasks: JoinSet<()>) -> String {
+    while let Some(ended) = tasks.join_next().await {
+        if let Err(error) = ended {
+            log::error!("event=task-failed error=\"{error}\"");
+            return error.to_string();
+        }
     }
-    tokio::task::spawn_local(reload_changes(state.clone(), reload));
-    stop(&state).await
+    std::future::pending().await
 }
 
 /// Waits for the stop signal, then stops accepting connections and lets open ones finish within the
