Bound the store calls of a large fleet while the store is away

Cause: while the granter's copy was outdated, each of 295 hosts asked the store for itself, with pauses of at most four seconds. After a restart of all hosts each assumed a fleet of 16 until it heard a granter. Change: while a host hears the granter, which asks for all, its pauses grow with the fleet; once the granter is silent they are as before. Watches of a host on its own start at most 1.2 s apart in a fleet of 192 or more. The voters of the election record tell the size of the fleet. watcher holds the calls.

--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -6,19 +6,21 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
-use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::fleet::EXPIRED_ENTRY_GRACE;
 use tarragon_model::time::Instant;
-use tarragon_store::api::Api;
-use tarragon_store::error::{Error, Kind};
-use tarragon_store::object::{Change, List, Object, Version};
+use tarragon_store::error::Error;
+use tarragon_store::object::{List, Object, Version};
 
 use crate::edit::Edit;
 use crate::state::State;
 
+mod watcher;
+
+pub use self::watcher::follow;
+
 /// Time that the granter's watch waits for changes; it bounds how long a dead watch goes unnoticed.
 const GRANTER_WATCH_TIME: Duration = Duration::from_millis(700);
 /// Time that another host's watch waits for changes. It is longer, as many hosts watch at once
@@ -29,10 +31,13 @@
 const GRANTER_WATCH_GAP: Duration = Duration::from_millis(60);
 /// Time between the starts of two watches of a host that is not the granter.
 const HOST_WATCH_GAP: Duration = Duration::from_millis(400);
-/// Number of hosts for which the longest pause is one [`MAX_BACKOFF`]. The pause grows with the
-/// number of hosts, to four times that at most, since each host tells the others when the store
-/// responds again.
+/// Number of hosts for which [`HOST_WATCH_GAP`] applies; it grows to three times that.
+const HOSTS_PER_WATCH_GAP: u32 = 64;
+/// Number of hosts for which [`MIN_BACKOFF`] and [`MAX_BACKOFF`] apply; both grow with the number of
+/// hosts.
 const HOSTS_PER_BACKOFF: u32 = 16;
+/// Time without a heartbeat after which a host no longer relies on the granter.
+const GRANTER_SILENCE: Duration = Duration::from_millis(900);
 /// Number of removed entries that are remembered, to send a delta to hosts that lag behind.
 const MAX_REMOVALS: usize = 1_024;
 /// Age up to which the granter's copy replaces a host's own store calls.
@@ -67,6 +72,8 @@
     confirmed: [Cell<Instant>; 2],
     /// Until when the granter's copy replaces this host's own store calls.
     relay_valid_until: Cell<Instant>,
+    /// When the granter was last heard.
+    heard_granter: Cell<Instant>,
     /// Removed entries, oldest first. The list is complete since the revision beside it.
     removals: RefCell<(Version, VecDeque<Removal>)>,
     /// Whether this host is the granter, whose copy the other hosts rely on.
@@ -184,23 +191,39 @@
         }
     }
 
-    fn watch_gap(&self) -> Duration {
+    /// Returns the least time between the starts of two watches in a fleet of `hosts`.
+    fn watch_gap(&self, hosts: u32) -> Duration {
         if self.is_granter.get() {
             GRANTER_WATCH_GAP
         } else {
-            HOST_WATCH_GAP
+            HOST_WATCH_GAP * (hosts / HOSTS_PER_WATCH_GAP).clamp(1, 3)
         }
     }
 
-    /// Returns the longest pause after failed calls.
-    fn max_backoff(&self, hosts: u32) -> Duration {
+    /// Returns the pauses after the first and after many failed calls in a fleet of `hosts`.
+    ///
+    /// While a host hears the granter, which asks the store for all of them, the pauses grow with
+    /// the fleet, so that all hosts together ask at a bounded rate.
+    fn backoff_bounds(&self, hosts: u32, now: Instant) -> (Duration, Duration) {
+        let factor = (hosts / HOSTS_PER_BACKOFF).max(1);
         if self.is_granter.get() {
-            MAX_BACKOFF
+            (MIN_BACKOFF, MAX_BACKOFF)
+        } else if self.hears_granter(now) {
+            (MIN_BACKOFF * factor, MAX_BACKOFF * factor)
         } else {
-            MAX_BACKOFF * (hosts / HOSTS_PER_BACKOFF).clamp(1, 4)
+            (MIN_BACKOFF, MAX_BACKOFF * factor.min(4))
         }
     }
 
+    fn hears_granter(&self, now: Instant) -> bool {
+        now.since(self.heard_granter.get()) < GRANTER_SILENCE
+    }
+
+    /// Notes a heartbeat of the granter.
+    pub fn note_heartbeat(&self, now: Instant) {
+        self.heard_granter.set(now);
+    }
+
     /// Notes that this host has the granter's copy, which the store confirmed `age` ago.
     pub fn confirm_relayed(&self, age: Duration, now: Instant) {
         for confirmed in &self.confirmed {
@@ -437,131 +460,3 @@
         state.fleet.borrow_mut().extend_grace(state.now());
     }
 }
-
-/// Follows the catalog and the entries until the process ends.
-pub async fn follow(state: Rc<State>, cluster: Rc<Cache>, api: Rc<dyn Api>) {
-    if state.settings.first_start {
-        cluster
-            .relay_valid_until
-            .set(state.now() + FIRST_START_WAIT);
-    }
-    let catalog = follow_subject(&state, &cluster, &*api, Subject::Catalog);
-    let entries = follow_subject(&state, &cluster, &*api, Subject::Entries);
-    let expiry = drop_missing_servers(&state);
-    tokio::join!(catalog, entries, expiry);
-}
-
-/// Drops backend servers whose missing entries did not come back in time.
-async fn drop_missing_servers(state: &State) {
-    while !state.stop.is_cancelled() {
-        tokio::time::sleep(Duration::from_millis(200)).await;
-        let gone = state.fleet.borrow_mut().remove_expired(state.now());
-        for id in gone {
-            state.mark_server_gone(&id, 0);
-        }
-    }
-}
-
-async fn follow_subject(state: &State, cluster: &Cache, api: &dyn Api, subject: Subject) {
-    let kind = match subject {
-        Subject::Catalog => state.platform.catalog_key().kind,
-        Subject::Entries => state.platform.entries_kind(),
-    };
-    let mut position: Option<Version> = None;
-    let mut backoff = MIN_BACKOFF;
-    while !state.stop.is_cancelled() {
-        if state.now() < cluster.relay_valid_until.get() {
-            let reached = cluster.entries_revision.get();
-            if subject == Subject::Entries && reached > Version::ABSENT {
-                position = position.max(Some(reached));
-            }
-            tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
-            continue;
-        }
-        let began = state.now();
-        let result = match position {
-            None => list(state, cluster, api, subject, kind).await,
-            Some(after) => watch(state, cluster, api, subject, kind, after).await,
-        };
-        match result {
-            Ok(next) => {
-                position = Some(next);
-                backoff = MIN_BACKOFF;
-                let took = state.now().since(began);
-                tokio::time::sleep(cluster.watch_gap().saturating_sub(took)).await;
-            }
-            Err(error) if error.kind == Kind::TooOld => {
-                log::info!("event=history-gone subject={subject:?}");
-                position = None;
-            }
-            Err(error) => {
-                cluster.note_failure(state, subject, &error);
-                let jitter = rand::random::<f64>() * 0.5 + 0.75;
-                tokio::time::sleep(backoff.mul_f64(jitter)).await;
-                backoff = (backoff * 2).min(cluster.max_backoff(state.host_count.get()));
-            }
-        }
-    }
-}
-
-async fn list(
-    state: &State,
-    cluster: &Cache,
-    api: &dyn Api,
-    subject: Subject,
-    kind: &str,
-) -> Result<Version, Error> {
-    let list = api.list(kind, &state.stop).await?;
-    cluster.update_lag(state);
-    cluster.note_response(state, subject);
-    let revision = list.revision;
-    match subject {
-        Subject::Catalog => {
-            for object in list.items {
-                cluster.apply_catalog(state, object);
-            }
-        }
-        Subject::Entries => {
-            let may_return = cluster.removals_may_return(state);
-            cluster.replace_entries(state, list, may_return);
-        }
-    }
-    Ok(revision)
-}
-
-async fn watch(
-    state: &State,
-    cluster: &Cache,
-    api: &dyn Api,
-    subject: Subject,
-    kind: &str,
-    after: Version,
-) -> Result<Version, Error> {
-    let changes = api
-        .watch(kind, after, cluster.watch_time(), &state.stop)
-        .await?;
-    cluster.update_lag(state);
-    cluster.note_response(state, subject);
-    for change in changes.changes {
-        match subject {
-            Subject::Catalog if !change.deleted => cluster.apply_catalog(state, change.object),
-            Subject::Catalog => {}
-            Subject::Entries => apply_entry_change(state, cluster, change),
-        }
-    }
-    if subject == Subject::Entries {
-        let reached = cluster.entries_revision.get().max(changes.revision);
-        cluster.entries_revision.set(reached);
-    }
-    Ok(changes.revision)
-}
-
-fn apply_entry_change(state: &State, cluster: &Cache, change: Change) {
-    if !change.deleted {
-        cluster.apply_entry(state, change.object);
-        return;
-    }
-    let may_return = cluster.removals_may_return(state);
-    let revision = change.object.version.0;
-    cluster.remove_entry(state, &change.object.name, revision, may_return);
-}
--- /dev/null
+++ b/crates/edge/src/cluster/watcher.rs
@@ -0,0 +1,159 @@
+//! Watches of the store, and their pauses.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tarragon_store::api::Api;
+use tarragon_store::error::{Error, Kind};
+use tarragon_store::object::{Change, Version};
+
+use super::{Cache, FIRST_START_WAIT, RELAY_CHECK_INTERVAL, Subject};
+use crate::state::State;
+
+/// Follows the catalog and the entries until the process ends.
+pub async fn follow(state: Rc<State>, cluster: Rc<Cache>, api: Rc<dyn Api>) {
+    if state.settings.first_start {
+        cluster
+            .relay_valid_until
+            .set(state.now() + FIRST_START_WAIT);
+    }
+    let catalog = follow_subject(&state, &cluster, &*api, Subject::Catalog);
+    let entries = follow_subject(&state, &cluster, &*api, Subject::Entries);
+    let expiry = drop_missing_servers(&state);
+    tokio::join!(catalog, entries, expiry);
+}
+
+/// Drops backend servers whose missing entries did not come back in time.
+async fn drop_missing_servers(state: &State) {
+    while !state.stop.is_cancelled() {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let gone = state.fleet.borrow_mut().remove_expired(state.now());
+        for id in gone {
+            state.mark_server_gone(&id, 0);
+        }
+    }
+}
+
+async fn follow_subject(state: &State, cluster: &Cache, api: &dyn Api, subject: Subject) {
+    let kind = match subject {
+        Subject::Catalog => state.platform.catalog_key().kind,
+        Subject::Entries => state.platform.entries_kind(),
+    };
+    let mut position: Option<Version> = None;
+    let mut failures: u32 = 0;
+    while !state.stop.is_cancelled() {
+        if state.now() < cluster.relay_valid_until.get() {
+            let reached = cluster.entries_revision.get();
+            if subject == Subject::Entries && reached > Version::ABSENT {
+                position = position.max(Some(reached));
+            }
+            tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
+            continue;
+        }
+        let began = state.now();
+        let result = match position {
+            None => list(state, cluster, api, subject, kind).await,
+            Some(after) => watch(state, cluster, api, subject, kind, after).await,
+        };
+        match result {
+            Ok(next) => {
+                position = Some(next);
+                failures = 0;
+                let took = state.now().since(began);
+                let gap = cluster.watch_gap(state.host_count.get());
+                tokio::time::sleep(gap.saturating_sub(took)).await;
+            }
+            Err(error) if error.kind == Kind::TooOld => {
+                log::info!("event=history-gone subject={subject:?}");
+                position = None;
+            }
+            Err(error) => {
+                cluster.note_failure(state, subject, &error);
+                let jitter = rand::random::<f64>() * 0.5 + 0.75;
+                pause(state, cluster, failures, jitter).await;
+                failures += 1;
+            }
+        }
+    }
+}
+
+/// Pauses after a failed call that followed `failures` others.
+///
+/// The pause ends early when the granter's copy is recent again, and is that of a host on its own
+/// once the granter is silent.
+async fn pause(state: &State, cluster: &Cache, failures: u32, jitter: f64) {
+    let began = state.now();
+    loop {
+        let now = state.now();
+        let (first, longest) = cluster.backoff_bounds(state.host_count.get(), now);
+        let pause = (first * 2_u32.saturating_pow(failures.min(10))).min(longest);
+        let left = pause.mul_f64(jitter).saturating_sub(now.since(began));
+        let relayed = now < cluster.relay_valid_until.get();
+        if left.is_zero() || relayed || state.stop.is_cancelled() {
+            return;
+        }
+        tokio::time::sleep(left.min(RELAY_CHECK_INTERVAL)).await;
+    }
+}
+
+async fn list(
+    state: &State,
+    cluster: &Cache,
+    api: &dyn Api,
+    subject: Subject,
+    kind: &str,
+) -> Result<Version, Error> {
+    let list = api.list(kind, &state.stop).await?;
+    cluster.update_lag(state);
+    cluster.note_response(state, subject);
+    let revision = list.revision;
+    match subject {
+        Subject::Catalog => {
+            for object in list.items {
+                cluster.apply_catalog(state, object);
+            }
+        }
+        Subject::Entries => {
+            let may_return = cluster.removals_may_return(state);
+            cluster.replace_entries(state, list, may_return);
+        }
+    }
+    Ok(revision)
+}
+
+async fn watch(
+    state: &State,
+    cluster: &Cache,
+    api: &dyn Api,
+    subject: Subject,
+    kind: &str,
+    after: Version,
+) -> Result<Version, Error> {
+    let changes = api
+        .watch(kind, after, cluster.watch_time(), &state.stop)
+        .await?;
+    cluster.update_lag(state);
+    cluster.note_response(state, subject);
+    for change in changes.changes {
+        match subject {
+            Subject::Catalog if !change.deleted => cluster.apply_catalog(state, change.object),
+            Subject::Catalog => {}
+            Subject::Entries => apply_entry_change(state, cluster, change),
+        }
+    }
+    if subject == Subject::Entries {
+        let reached = cluster.entries_revision.get().max(changes.revision);
+        cluster.entries_revision.set(reached);
+    }
+    Ok(changes.revision)
+}
+
+fn apply_entry_change(state: &State, cluster: &Cache, change: Change) {
+    if !change.deleted {
+        cluster.apply_entry(state, change.object);
+        return;
+    }
+    let may_return = cluster.removals_may_return(state);
+    let revision = change.object.version.0;
+    cluster.remove_entry(state, &change.object.name, revision, may_return);
+}
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -231,6 +231,7 @@
         }
         let own = self.cluster.revisions(&self.state);
         let (catalog, entries, last_change) = granter;
+        self.cluster.note_heartbeat(self.state.now());
         if own.0 >= catalog && own.1 >= last_change {
             let now = self.state.now();
             self.cluster.advance_to(entries);
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -13,7 +13,7 @@
 use super::elected::{Elected, Predecessor};
 use super::{
     Participant, Process, RECORD_KEY, RENEWAL_TIMEOUT, Record, Role, StoreResponse,
-    WEAK_CORES_RATIO, WEAK_HOST_DELAY, deliver, process_id,
+    WEAK_CORES_RATIO, WEAK_HOST_DELAY, deliver, host_count, process_id,
 };
 use crate::granting::{self, Completion, Grants};
 use crate::keys::Map;
@@ -100,6 +100,13 @@
                         self.last_dials.remove(&record.address);
                     }
                 }
+                // The voters of the record are all hosts that followed its granter.
+                let hosts = self
+                    .state
+                    .host_count
+                    .get()
+                    .max(host_count(record.voters.len()));
+                self.state.host_count.set(hosts);
                 let own = record.host == self.state.settings.host;
                 let free = record.vacant || self.granter_gone;
                 self.record = Some((version, record));
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use serde_json::Value;
@@ -25,6 +26,7 @@
     mode: Mutex<Mode>,
     objects: Mutex<BTreeMap<(String, String), (Version, Value)>>,
     revision: Mutex<u64>,
+    calls: AtomicU32,
 }
 
 impl Store {
@@ -33,6 +35,7 @@
             mode: Mutex::new(Mode::Serves),
             objects: Mutex::default(),
             revision: Mutex::new(1),
+            calls: AtomicU32::new(0),
         }
     }
 
@@ -48,6 +51,11 @@
         Error::new(Operation::Get, "object", "test", kind)
     }
 
+    /// Returns the number of lists and watches so far.
+    pub fn calls(&self) -> u32 {
+        self.calls.load(Ordering::SeqCst)
+    }
+
     fn check_available(&self) -> Result<(), Error> {
         if self.mode() == Mode::Serves {
             Ok(())
@@ -96,6 +104,7 @@
     }
 
     fn list<'a>(&'a self, _: &'a str, _: &'a CancellationToken) -> ResponseFuture<'a, List> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
         Box::pin(async {
             self.check_available()?;
             Ok(List {
@@ -131,6 +140,7 @@
         wait: Duration,
         _: &'a CancellationToken,
     ) -> ResponseFuture<'a, Changes> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
         Box::pin(async move {
             self.check_available()?;
             tokio::time::sleep(wait.min(Duration::from_millis(100))).await;
