--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::FutureExt;
-use http::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -27,6 +26,13 @@
 /// Timeout of a request without a deadline header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time without a new connection after which a stopping process accepts no more.
+const LATE_ACCEPT_WAIT: Duration = Duration::from_millis(100);
+/// Time for which a stopping process leaves an idle connection open, for a request on its way.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(300);
+/// Longest time for which a stopping process accepts connections that were opened before.
+const MAX_LATE_ACCEPT_TIME: Duration = Duration::from_millis(500);
+
 /// Accepts caller connections until the process drains.
 pub async fn serve(state: Rc<State>, listener: TcpListener) {
     loop {
@@ -45,7 +51,10 @@
         }
     }
     // Closing the listener resets the connections that wait to be accepted.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    let end = Instant::now() + MAX_LATE_ACCEPT_TIME;
+    while Instant::now() < end
+        && let Ok(Ok((stream, _))) = tokio::time::timeout(LATE_ACCEPT_WAIT, listener.accept()).await
+    {
         tokio::task::spawn_local(connection(Rc::clone(&state), stream));
     }
 }
@@ -79,7 +88,7 @@
             tokio::select! {
                 biased;
                 () = socket.closed() => Err("the caller disconnected"),
-                response = handle(&state, request) => Ok(response),
+                response = handle(&state, request) => Ok(close_if_leaving(&state, response)),
             }
         }
     });
@@ -91,8 +100,9 @@
         .serve_connection(TokioIo::new(socket.clone()), service);
     let mut served = std::pin::pin!(served);
     let ended = tokio::select! {
+        biased;
         ended = served.as_mut() => ended,
-        () = state.drain.cancelled() => {
+        () = quiet_after_drain(&state) => {
             served.as_mut().graceful_shutdown();
             served.await
         }
@@ -105,6 +115,21 @@
     }
 }
 
+/// Waits until the process drains and a request that was then on its way has arrived.
+async fn quiet_after_drain(state: &State) {
+    state.drain.cancelled().await;
+    tokio::time::sleep(LAST_REQUEST_WAIT).await;
+}
+
+/// Asks the caller for another connection, and so another host, once the process is leaving.
+fn close_if_leaving(state: &State, mut response: Response<Body>) -> Response<Body> {
+    if state.leaving.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
 /// Responds to a request, and logs and counts it.
 async fn handle(state: &State, request: Request<Incoming>) -> Response<Body> {
     let started = Instant::now();
