Review case 2: an entry of an unnamed service takes a backend's keys away

Cause: an entry with a backend's address and a later start counts as proof that the backend has ended, whatever its service. Nothing is fixed.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -1,5 +1,6 @@
 //! Stand-in of a backend, as PROTOCOL.md tells it: slots, a short queue, grants and releases.
 
+use std::collections::{HashMap, HashSet};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -236,6 +237,14 @@
         }
     }
 
+    /// Returns for each key whether it is held now.
+    fn held(&self) -> Vec<bool> {
+        let inner = self.inner.lock().unwrap();
+        let now = Instant::now();
+        let leases = inner.open.iter().zip(&inner.lease);
+        leases.map(|(open, lease)| *open && lease.is_some_and(|lease| lease > now)).collect()
+    }
+
     fn release(&self, call: &Json) -> Vec<u8> {
         let number = |name: &str| call.get(name).number().unwrap_or(0);
         let (from, to) = (number("from") as usize, number("to") as usize);
@@ -366,3 +375,41 @@
         Some(http::response(status, &headers, format!("answer to {id}").as_bytes()))
     }
 }
+
+/// Watches until `stop` whether two backends of a service that are up hold the same keys for over
+/// half a second.
+pub fn watch_holders(seen: &Arc<Seen>, stop: &Arc<AtomicBool>) -> thread::JoinHandle<()> {
+    let (seen, stop) = (Arc::clone(seen), Arc::clone(stop));
+    thread::spawn(move || {
+        // Since when a pair of backends has held a key together, by the pair and the key.
+        let mut since: HashMap<(String, String, usize), Instant> = HashMap::new();
+        let mut told: HashSet<(String, String)> = HashSet::new();
+        while !stop.load(Ordering::SeqCst) {
+            let all = seen.backends.lock().unwrap().clone();
+            let up = all.iter().filter(|known| known.kind.sharded && !known.ended.load(Ordering::SeqCst));
+            let held: Vec<_> = up.map(|known| (known, known.held())).collect();
+            let mut still = HashMap::new();
+            for (index, (one, left)) in held.iter().enumerate() {
+                for (other, right) in &held[index + 1..] {
+                    if one.kind.service != other.kind.service {
+                        continue;
+                    }
+                    for key in (0..left.len()).filter(|key| left[*key] && right[*key]) {
+                        let name = (one.id.clone(), other.id.clone(), key);
+                        let began = since.get(&name).copied().unwrap_or_else(Instant::now);
+                        still.insert(name, began);
+                    }
+                }
+            }
+            for ((one, other, key), began) in &still {
+                if began.elapsed() > Duration::from_millis(500) && told.insert((one.clone(), other.clone())) {
+                    let text = format!("OWNER: {one} and {other} have both held key {key} for over half a second");
+                    note(&text);
+                    seen.broken.lock().unwrap().push(text);
+                }
+            }
+            since = still;
+            thread::sleep(Duration::from_millis(25));
+        }
+    })
+}
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -8,9 +8,9 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::backend::{Backend, CRASH, Kind, Seen};
+use crate::backend::{Backend, CRASH, Kind, Seen, watch_holders};
 use crate::http::{self, Message};
-use crate::record::{Random, note, now_ms};
+use crate::record::{Random, note, now_ms, unix_ms};
 use crate::router::{Router, SIGHUP, SIGKILL, SIGTERM, ip};
 use crate::store::Store;
 
@@ -23,6 +23,7 @@
         "silent-leave" => silent_leave(trouble),
         "poison-roll" => poison_roll(trouble),
         "one-crash" => one_crash(trouble),
+        "foreign-entry" => foreign_entry(trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -623,3 +624,65 @@
     }
     Ok(Vec::new())
 }
+
+/// Another writer puts an entry of a service that no config names into the store. It has the address
+/// of a backend. No process and no link is disturbed.
+fn foreign_entry(trouble: bool) -> Played {
+    let scratch = Scratch::new();
+    let store = Store::default();
+    let address = store.serve(&ip(1));
+    let seen = Arc::new(Seen::default());
+    store.write("config", "main", &config(&[("view", true)], &[("read", "idempotent", "view", 1_200, 300)]));
+    let kind = Kind {
+        service: "view",
+        slots: 6,
+        queue: 4,
+        sharded: true,
+        distance_ms: 1,
+        work: Arc::new(|_: &Message| 70),
+    };
+    let one = Backend::start("i-1", 1, &kind, &seen, &store);
+    Backend::start("i-2", 2, &kind, &seen, &store);
+    Backend::start("i-3", 3, &kind, &seen, &store);
+    let mut fleet = routers(3, address, &scratch);
+    start_all(&mut fleet)?;
+    sleep_ms(4_000);
+    let fronts: Vec<SocketAddr> = fleet.iter().map(|router| router.front).collect();
+    let clients = Arc::new(Clients::default());
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut threads = vec![watch_holders(&seen, &stop)];
+    for number in 0..9_u64 {
+        let (clients, stop, front) = (clients.clone(), stop.clone(), fronts[number as usize % fronts.len()]);
+        threads.push(thread::spawn(move || {
+            let mut random = Random::new(number + 1);
+            while !stop.load(Ordering::SeqCst) {
+                let path = format!("/read/{number}-{}", random.next());
+                let key = Some(random.below(65_536));
+                clients.send(front, &Ask { method: "GET", path: &path, deadline_ms: 1_200, key });
+                sleep_ms(50 + random.below(100));
+            }
+        }));
+    }
+    sleep_ms(6_000);
+    if trouble {
+        let entry = format!(
+            "{{\"addr\":\"{}\",\"born\":{},\"info\":{{\"service\":\"unnamed\",\"version\":\"v1\",\"zone\":\"a\",\"slots\":6}},\"status\":{{\"state\":\"ready\",\"seq\":1,\"warmup-left-ms\":0}}}}",
+            one.address,
+            unix_ms()
+        );
+        note("trouble: another writer adds an entry of a service that no config names");
+        store.write("servers", "i-other", &entry);
+    }
+    sleep_ms(12_000);
+    stop.store(true, Ordering::SeqCst);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let served = clients.ended.lock().unwrap().values().filter(|s| s.as_deref() == Some("200")).count();
+    println!("requests={} served={served}", clients.ended.lock().unwrap().len());
+    if served < 100 {
+        return Err("too few requests were served".to_owned());
+    }
+    let broken = seen.broken.lock().unwrap().clone();
+    Ok(broken)
+}
