--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -125,7 +125,7 @@
     for router in routers.iter_mut() {
         router.start();
     }
-    for router in routers.iter() {
+    for router in routers.iter_mut() {
         if !router.wait_ready() {
             return Err(format!("{} is not ready", router.name));
         }
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -198,15 +198,20 @@
         answer.is_ok_and(|answer| answer.word() == "200")
     }
 
-    pub fn wait_ready(&self) -> bool {
+    pub fn wait_ready(&mut self) -> bool {
         let end = Instant::now() + Duration::from_secs(20);
         while Instant::now() < end {
             if self.is_ready() {
                 note(&format!("platform finds {} ready", self.name));
                 return true;
             }
+            if !self.is_running() {
+                note(&format!("platform sees the end of {} before it was ready", self.name));
+                return false;
+            }
             thread::sleep(Duration::from_millis(50));
         }
+        note(&format!("platform finds {} running and not ready", self.name));
         false
     }
 }
