Retry on a connection that carried no earlier send of the request

Cause: a refused request was retried on the connection of its first send. A second copy of the refusal carries the same identifier and passed for the response to the retry, while the server ran the request.

Change: connections are numbered, and each send of a request excludes those of its earlier sends. A request without an identifier accepts no response that has one. The log names the connection of each send.

Ruled out: releases (a fresh connection each), grants (holds count from the send, whatever the response).

--- a/crates/edge/src/granting/command.rs
+++ b/crates/edge/src/granting/command.rs
@@ -78,7 +78,7 @@
 }
 
 /// Returns the requirements of a command for its connection.
-fn requirements(pending: &Pending<'_>, waited: Duration) -> Requirements {
+fn requirements(pending: &Pending<'_>, waited: Duration) -> Requirements<'static> {
     let (max_idle, time) = match pending.command.action {
         Action::Grant => (
             Duration::from_mins(1),
@@ -92,6 +92,7 @@
         max_connections: MAX_CONNECTIONS,
         max_idle,
         deadline: tokio::time::Instant::now() + time,
+        excluded: &[],
     }
 }
 
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -55,9 +56,20 @@
     },
 }
 
+/// Number of a connection, unique within its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Serial(u64);
+
+impl fmt::Display for Serial {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Connections of one host to all backend servers.
 pub struct Pool {
     servers: RefCell<HashMap<String, Rc<Server>>>,
+    last_serial: Cell<u64>,
     unacknowledged_timeout: Duration,
 }
 
@@ -78,6 +90,7 @@
 
 /// Connection that no request uses.
 struct Idle {
+    serial: Serial,
     sender: SendRequest<Body>,
     since: Instant,
     expires: Instant,
@@ -87,10 +100,15 @@
     fn is_usable(&self, max_idle: Duration, now: Instant) -> bool {
         now < self.expires && self.sender.is_ready() && now - self.since <= max_idle
     }
+
+    fn meets(&self, need: &Requirements<'_>, now: Instant) -> bool {
+        self.is_usable(need.max_idle, now) && !need.excluded.contains(&self.serial)
+    }
 }
 
 /// Connection in exclusive use by one request.
 pub struct Connection {
+    serial: Serial,
     sender: Option<SendRequest<Body>>,
     server: Rc<Server>,
     /// Whether the connection has carried earlier requests.
@@ -99,13 +117,15 @@
 
 /// Requirements of a request for its connection.
 #[derive(Clone, Copy, Debug)]
-pub struct Requirements {
+pub struct Requirements<'a> {
     /// Maximum number of connections that this host may open to the backend server.
     pub max_connections: u32,
     /// Maximum time for which a reused connection may have been idle.
     pub max_idle: Duration,
     /// Time until which the request waits for a connection that is in use.
     pub deadline: Instant,
+    /// Connections that must not carry the request.
+    pub excluded: &'a [Serial],
 }
 
 impl Pool {
@@ -116,6 +136,7 @@
     pub fn new(unacknowledged_timeout: Duration) -> Self {
         Self {
             servers: RefCell::default(),
+            last_serial: Cell::new(0),
             unacknowledged_timeout,
         }
     }
@@ -130,19 +151,21 @@
         &self,
         id: &str,
         addr: SocketAddr,
-        need: Requirements,
+        need: Requirements<'_>,
     ) -> Result<Connection, Error> {
         let server = self.server(id);
         loop {
-            if let Some(sender) = server.take_idle(need.max_idle) {
+            if let Some(idle) = server.take_idle(&need) {
                 return Ok(Connection {
-                    sender: Some(sender),
+                    serial: idle.serial,
+                    sender: Some(idle.sender),
                     server,
                     reused: true,
                 });
             }
             if server.open.get() < server.limit(need.max_connections) {
-                return connect(server, addr, self.unacknowledged_timeout).await;
+                let serial = self.next_serial();
+                return connect(server, serial, addr, self.unacknowledged_timeout).await;
             }
             // An idle connection that this request may not use makes room for a new one.
             server.idle.borrow_mut().pop();
@@ -174,6 +197,11 @@
         }
     }
 
+    fn next_serial(&self) -> Serial {
+        self.last_serial.set(self.last_serial.get() + 1);
+        Serial(self.last_serial.get())
+    }
+
     fn server(&self, id: &str) -> Rc<Server> {
         let mut servers = self.servers.borrow_mut();
         if let Some(server) = servers.get(id) {
@@ -199,18 +227,19 @@
     }
 
     /// Takes the usable connection that was used last, and closes expired ones.
-    fn take_idle(&self, max_idle: Duration) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, need: &Requirements<'_>) -> Option<Idle> {
         let now = Instant::now();
         let mut all = self.idle.borrow_mut();
         all.retain(|entry| now < entry.expires && !entry.sender.is_closed());
-        let index = all.iter().rposition(|entry| entry.is_usable(max_idle, now));
-        index.map(|index| all.remove(index).sender)
+        let index = all.iter().rposition(|entry| entry.meets(need, now));
+        index.map(|index| all.remove(index))
     }
 }
 
 /// Opens a connection to a backend server.
 async fn connect(
     server: Rc<Server>,
+    serial: Serial,
     addr: SocketAddr,
     unacknowledged_timeout: Duration,
 ) -> Result<Connection, Error> {
@@ -239,6 +268,7 @@
         drop(guard);
     });
     Ok(Connection {
+        serial,
         sender: Some(sender),
         server,
         reused: false,
@@ -305,6 +335,12 @@
 }
 
 impl Connection {
+    /// Returns the number of the connection.
+    #[must_use]
+    pub const fn serial(&self) -> Serial {
+        self.serial
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -347,6 +383,7 @@
                 time.mul_f64(KEEP_ALIVE_FRACTION)
             });
         self.server.idle.borrow_mut().push(Idle {
+            serial: self.serial,
             sender,
             since: now,
             expires,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -14,12 +14,13 @@
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use smallvec::SmallVec;
 use tarragon_dispatch::fleet::{AttemptClass, Fleet, Load, Observation, Pick};
 use tokio::time::Instant;
 
 use crate::body::Reservation;
 use crate::platform::Headers;
-use crate::pool::{self, Connection, Requirements};
+use crate::pool::{self, Connection, Requirements, Serial};
 use crate::state::State;
 
 /// Error that interrupts a response body.
@@ -139,14 +140,17 @@
 
 /// Sends a request to the backend server `pick` and waits for its response.
 ///
-/// `connections` is the connection limit of the backend server. `deadline` is forwarded to it but
-/// not enforced here, except on a response that is forwarded as it arrives: the calling function
-/// must apply a timeout.
+/// `connections` is the connection limit of the backend server. `used` lists the connections that
+/// carried earlier sends of the request. They do not carry it again, since its identifier cannot
+/// tell a second copy of an earlier response from the response to this send. `deadline` is
+/// forwarded to the server but not enforced here, except on a response that is forwarded as it
+/// arrives: the calling function must apply a timeout.
 pub async fn send(
     state: &State,
     request: &CallerRequest,
     pick: &Pick,
     connections: u32,
+    used: &mut SmallVec<[Serial; 2]>,
     deadline: Instant,
 ) -> Outcome {
     state.fleet.borrow_mut().record_sent(&pick.id);
@@ -156,13 +160,15 @@
         sent: Instant::now(),
         observation: None,
     };
-    let need = Requirements {
-        max_connections: max_connections(connections, state.host_count.get()),
-        max_idle: request.max_idle(),
-        deadline: deadline.min(Instant::now() + CONNECTION_WAIT),
-    };
+    let connection_deadline = deadline.min(Instant::now() + CONNECTION_WAIT);
     let mut outbound = request.outbound(state.platform.headers(), pick, deadline);
     loop {
+        let need = Requirements {
+            max_connections: max_connections(connections, state.host_count.get()),
+            max_idle: request.max_idle(),
+            deadline: connection_deadline,
+            excluded: used,
+        };
         let mut connection = match state.pool.acquire(&pick.id, pick.addr, need).await {
             Ok(connection) => connection,
             Err(pool::Error::Full { .. }) => return Outcome::Full,
@@ -171,6 +177,7 @@
                 return Outcome::NotSent(error.to_string());
             }
         };
+        used.push(connection.serial());
         match connection.send(outbound).await {
             Ok(response) => {
                 return receive(state, request, response, connection, &mut guard, deadline).await;
@@ -254,7 +261,7 @@
         .get(&names.load)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| state.platform.parse_load(text));
-    if head.headers.get(&names.request_id) != request.id.as_ref() && request.id.is_some() {
+    if head.headers.get(&names.request_id) != request.id.as_ref() {
         guard.finish(AttemptClass::Failed, load, 0);
         return Outcome::Unknown("answer to another request".to_owned());
     }
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -13,6 +13,7 @@
 use tarragon_dispatch::table;
 use tokio::time::Instant;
 
+use crate::pool::Serial;
 use crate::relay::{self, CallerRequest, Outcome, ServerResponse};
 use crate::state::State;
 
@@ -108,6 +109,8 @@
     /// Backend servers that denied holding the key of this request.
     denied_by: SmallVec<[String; 2]>,
     sends: u32,
+    /// Connections that carried a send.
+    connections_used: SmallVec<[Serial; 2]>,
     /// Whether a send is in progress.
     sending: bool,
     connection_waits: u32,
@@ -213,6 +216,7 @@
             may_have_run_on: HashSet::new(),
             denied_by: SmallVec::new(),
             sends: 0,
+            connections_used: SmallVec::new(),
             sending: false,
             connection_waits: 0,
             trace,
@@ -268,7 +272,9 @@
             self.sending = true;
             let sent = Instant::now();
             let pick = &target.pick;
-            let outcome = relay::send(state, &self.content, pick, connections, self.deadline).await;
+            let used = &mut self.connections_used;
+            let sending = relay::send(state, &self.content, pick, connections, used, self.deadline);
+            let outcome = sending.await;
             self.sending = false;
             state.metrics.count_send(outcome.name());
             self.trace_send(pick, &outcome, sent);
@@ -341,10 +347,15 @@
             Outcome::Full | Outcome::OtherServer => "-".to_owned(),
             Outcome::NotSent(text) | Outcome::Unknown(text) => format!("\"{text}\""),
         };
+        let connection = match outcome {
+            Outcome::Full | Outcome::NotSent(_) => None,
+            _ => self.connections_used.last().map(ToString::to_string),
+        };
+        let connection = connection.as_deref().unwrap_or("-");
         append(
             &mut self.trace,
             format_args!(
-                " send={} server={} born={} result={} detail={detail} took_ms={}",
+                " send={} server={} born={} connection={connection} result={} detail={detail} took_ms={}",
                 self.sends,
                 pick.id,
                 pick.start_ms,
--- a/crates/edge/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -73,6 +73,74 @@
     .await;
 }
 
+/// Adds a backend server that refuses the first request, and sends the same refusal once more to
+/// the next request on that connection; returns the number of requests that it ran.
+async fn add_repeating_refuser(router: &Router) -> Count {
+    let (count, refused) = (Count::default(), Rc::new(Cell::new(false)));
+    let counted = count.clone();
+    let script = move |mut stream: TcpStream| {
+        let (count, refused) = (counted.clone(), refused.clone());
+        async move {
+            let mut copy: Option<String> = None;
+            while let Some(head) = read_head(&mut stream).await {
+                let text = if refused.replace(true) {
+                    count.set(count.get() + 1);
+                    copy.take().unwrap_or_default() + &answer(&head, "ran")
+                } else {
+                    let refusal = refusal(&head, "503 Full", "");
+                    copy = Some(refusal.clone());
+                    refusal
+                };
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        }
+    };
+    router.add_server("a", script).await;
+    count
+}
+
+macro_rules! second_refusal {
+    ($($name:ident: $keyed:expr;)*) => {$(
+        /// Guards against orders that ran twice, or ran though their caller was told "not run".
+        #[tokio::test]
+        async fn $name() {
+            with_router(Kind::NonIdempotent, $keyed, async |router| {
+                let ran = add_repeating_refuser(&router).await;
+                router.grant_all("a", 1);
+                let mut caller = router.connect().await;
+                caller.send("x", $keyed.then_some(7), "").await;
+                assert_eq!(caller.response().await, (200, "ran".to_owned()));
+                assert_eq!(ran.get(), 1);
+            })
+            .await;
+        }
+    )*};
+}
+
+second_refusal! {
+    a_second_copy_of_a_refusal_answers_no_retry: false;
+    a_second_copy_of_a_refusal_answers_no_retry_with_a_key: true;
+}
+
+/// Guards against a response to another request for a caller that sends no identifier.
+#[tokio::test]
+async fn a_request_without_an_identifier_gets_no_response_to_another() {
+    with_router(Kind::Idempotent, false, async |router| {
+        let count = add_responder(&router, "a", |_| answer("x-request: other", "other")).await;
+        let mut caller = router.connect().await;
+        caller
+            .0
+            .write_all(b"GET /p HTTP/1.1\r\nhost: h\r\n\r\n")
+            .await
+            .unwrap();
+        assert_eq!(caller.response().await.0, 502);
+        assert!(count.get() >= 1);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_request_is_not_sent_again_to_a_server_that_denied_its_key() {
     with_router(Kind::Idempotent, true, async |router| {
