Let only entries of named services displace a server at their address

Cause: a later entry with the same address marked the other server as ended, whatever its service, and the granter then skipped the wait for the grants of that server.

Change: an entry displaces another only if the catalog names its service; decided again when the catalog changes. The granter takes a holder for ended only when the holder's own entry is gone too. New line event=server-superseded. The server moves to a file of its own.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -1,15 +1,17 @@
 //! Backend servers as one host knows them, and the choice of a server for a request.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tarragon_model::time::Instant;
 
 mod estimate;
+mod server;
 
 use self::estimate::Estimate;
 pub use self::estimate::{AttemptClass, Load, Observation, Sample};
+pub use self::server::{Server, Status};
 
 /// Entry that a backend server publishes about itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,37 +34,6 @@
     pub warmup: Duration,
 }
 
-/// Whether a backend server accepts new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Status {
-    /// It accepts new requests.
-    Ready,
-    /// It is draining or its entry is gone; this host learned so at the given time.
-    Leaving(Instant),
-}
-
-/// Backend server as this host knows it.
-#[derive(Debug)]
-pub struct Server {
-    /// Its entry.
-    pub entry: Entry,
-    /// Whether it accepts new requests.
-    pub status: Status,
-    /// Store revision of the last change to the entry.
-    pub revision: u64,
-    learned_at: Instant,
-    present: bool,
-    /// Since when the entry has been missing, while it may still return.
-    missing_since: Option<Instant>,
-    /// Time until which a missing entry may return.
-    grace_until: Option<Instant>,
-    /// Whether a server that started later uses its address, so that this one has ended.
-    superseded: bool,
-    /// Time until which the server counts as another than the entry says.
-    denied_until: Option<Instant>,
-    estimate: Estimate,
-}
-
 /// What an update of an entry changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -157,10 +128,6 @@
 const MAX_PRIORITY: u32 = 4;
 /// Fraction of choices that go to a server of the same region that was never tried.
 const EXPLORE_PART: f64 = 0.1;
-/// Fraction of the drain time during which requests are sent to a leaving server. The rest covers
-/// the time until a slow host learns of the leave and until a request from there reaches the
-/// server.
-const DRAIN_PART: f64 = 0.35;
 /// Cost factor of a server that the request was sent to before.
 const RETRIED_PENALTY: f64 = 4.0;
 /// Cost factor of a server whose entry is missing.
@@ -175,6 +142,8 @@
 pub struct Fleet {
     location: Location,
     servers: BTreeMap<String, Server>,
+    /// Services that the catalog names.
+    services: BTreeSet<String>,
     baselines: HashMap<String, estimate::Baseline>,
     lag: Duration,
 }
@@ -186,6 +155,7 @@
         Self {
             location,
             servers: BTreeMap::new(),
+            services: BTreeSet::new(),
             baselines: HashMap::new(),
             lag: Duration::ZERO,
         }
@@ -198,6 +168,20 @@
         self.lag = lag;
     }
 
+    /// Sets the services that the catalog names; an entry of another service is not evidence of
+    /// anything, since another program may have written it.
+    pub fn set_services<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+        let services: BTreeSet<String> = names.map(str::to_owned).collect();
+        if services == self.services {
+            return;
+        }
+        self.services = services;
+        let addresses: BTreeSet<SocketAddr> = self.servers.values().map(|s| s.entry.addr).collect();
+        for addr in addresses {
+            self.mark_superseded(addr);
+        }
+    }
+
     /// Applies a backend server's entry.
     ///
     /// An older revision than the known one is ignored.
@@ -221,9 +205,9 @@
                 estimate,
                 entry,
             };
-            let id = server.entry.id.clone();
-            self.servers.insert(id.clone(), server);
-            self.supersede(&id);
+            let addr = server.entry.addr;
+            self.servers.insert(server.entry.id.clone(), server);
+            self.mark_superseded(addr);
             return Change::New;
         };
         if revision < known.revision {
@@ -241,40 +225,51 @@
         if restarted {
             known.estimate = Estimate::new(now + entry.warmup);
             known.learned_at = now;
-            known.superseded = false;
         }
         if restarted || was_ready == entry.draining {
             known.status = status;
         }
-        let id = entry.id.clone();
-        known.entry = entry;
-        match (restarted, was_ready == (known.status == Status::Ready)) {
-            (true, _) => {
-                self.supersede(&id);
-                Change::Restarted
-            }
-            (false, false) => Change::Status,
-            (false, true) => Change::None,
+        let moved = restarted || known.entry.service != entry.service;
+        let before = std::mem::replace(&mut known.entry, entry);
+        let addr = known.entry.addr;
+        let status_changed = was_ready != (known.status == Status::Ready);
+        if moved {
+            self.mark_superseded(before.addr);
+            self.mark_superseded(addr);
+        }
+        if restarted {
+            Change::Restarted
+        } else if status_changed {
+            Change::Status
+        } else {
+            Change::None
         }
     }
 
-    /// Marks the server that has ended among those with the address of the server `id`: an address
-    /// is used again only after its former server has ended.
-    fn supersede(&mut self, id: &str) {
-        let Some(new) = self.servers.get(id) else {
-            return;
-        };
-        let (addr, start_ms) = (new.entry.addr, new.entry.start_ms);
-        let mut latest = start_ms;
-        for other in self.servers.values_mut() {
-            if other.entry.addr == addr && other.entry.id != id {
-                latest = latest.max(other.entry.start_ms);
-                other.superseded |= other.entry.start_ms < start_ms;
+    /// Marks the servers with an address that have ended, since one of them started later: an
+    /// address is used again only after its former server has ended.
+    fn mark_superseded(&mut self, addr: SocketAddr) {
+        let named = |server: &&Server| self.services.contains(&server.entry.service);
+        let sharing = self.servers.values().filter(|s| s.entry.addr == addr);
+        let latest = sharing.filter(named).map(|s| s.entry.start_ms).max();
+        for server in self.servers.values_mut() {
+            if server.entry.addr == addr {
+                server.superseded = latest.is_some_and(|latest| server.entry.start_ms < latest);
             }
         }
-        if let Some(new) = self.servers.get_mut(id) {
-            new.superseded = start_ms < latest;
-        }
+    }
+
+    /// Returns the servers that have ended, since the server `id` started later at their address.
+    pub fn superseded_by(&self, id: &str) -> impl Iterator<Item = &Server> {
+        let later = self.servers.get(id);
+        self.servers.values().filter(move |server| {
+            server.superseded
+                && later.is_some_and(|later| {
+                    !later.superseded
+                        && later.entry.addr == server.entry.addr
+                        && self.services.contains(&later.entry.service)
+                })
+        })
     }
 
     /// Records that a backend server denied being the one in its entry.
@@ -482,80 +477,6 @@
     }
 }
 
-impl Server {
-    /// Returns whether the entry is in the store, as far as this host knows.
-    #[must_use]
-    pub fn present(&self) -> bool {
-        self.present
-    }
-
-    /// Returns whether the server may get keys: its entry says that it is ready, and nothing shows
-    /// that another server uses its address.
-    #[must_use]
-    pub fn accepts_keys(&self) -> bool {
-        self.present && self.status == Status::Ready && !self.superseded
-    }
-
-    /// Returns whether a server that started later uses the address, so that this one has ended.
-    #[must_use]
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
-    /// Returns whether attempts to reach the server failed, so that it is not tried now.
-    #[must_use]
-    pub fn is_unreachable(&self, now: Instant) -> bool {
-        self.estimate.is_unreachable(now)
-    }
-
-    /// Returns whether the server denied being the one in its entry.
-    #[must_use]
-    pub fn is_denied(&self, now: Instant) -> bool {
-        self.denied_until.is_some_and(|until| now < until)
-    }
-
-    /// Returns whether the server still accepts requests that only it can process.
-    ///
-    /// A server that is leaving, or whose entry is missing, still processes such requests. No
-    /// request may reach it later than `drain` after its leave was known, so sending stops well
-    /// before.
-    #[must_use]
-    pub fn accepts_keyed(&self, drain: Duration, now: Instant) -> bool {
-        let drain = drain.mul_f64(DRAIN_PART);
-        let since = match self.status {
-            Status::Ready => self.missing_since,
-            Status::Leaving(since) => Some(since),
-        };
-        !self.superseded && since.is_none_or(|since| now.since(since) < drain)
-    }
-
-    /// Returns the time since this host learned of the server's current incarnation.
-    #[must_use]
-    pub fn known_for(&self, now: Instant) -> Duration {
-        now.since(self.learned_at)
-    }
-
-    /// Returns the server as the choice for a request.
-    #[must_use]
-    pub fn pick(&self) -> Pick {
-        Pick {
-            id: self.entry.id.clone(),
-            start_ms: self.entry.start_ms,
-            addr: self.entry.addr,
-        }
-    }
-
-    /// Marks the server as leaving, counted from when its entry was first missing.
-    fn mark_leaving(&mut self, now: Instant) {
-        self.present = false;
-        self.grace_until = None;
-        let since = self.missing_since.take().unwrap_or(now);
-        if self.status == Status::Ready {
-            self.status = Status::Leaving(since);
-        }
-    }
-}
-
 /// Derives a number between 0 and 1 for each server from one random number.
 fn server_random(random: f64, id: &str) -> f64 {
     let sum = id.bytes().fold(0_u32, |sum, byte| {
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -498,7 +498,7 @@
 fn liveness(fleet: &Fleet, holder: &Holder) -> Liveness {
     match fleet.get(&holder.id) {
         Some(server) if server.entry.start_ms > holder.start_ms => Liveness::Restarted,
-        Some(server) if server.is_superseded() => Liveness::Ended,
+        Some(server) if server.has_ended() => Liveness::Ended,
         _ => Liveness::MaybeAlive,
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -156,6 +156,8 @@
         }
         self.metrics.count_state_change("catalog");
         self.catalog_revision.set(revision);
+        let services = catalog.services.iter().map(|service| service.name.as_str());
+        self.fleet.borrow_mut().set_services(services);
         *self.table.borrow_mut() = Rc::new(Table::new(&catalog));
         *self.catalog.borrow_mut() = Rc::new(catalog);
         self.fleet_changed.notify_waiters();
@@ -175,6 +177,15 @@
         log::info!(
             "event=server id={id} change={change:?} service={service} zone={zone} draining={draining} born={start_ms} revision={revision}"
         );
+        for former in self.fleet.borrow().superseded_by(&id) {
+            log::info!(
+                "event=server-superseded id={} born={} by={id} addr={} entry_present={}",
+                former.entry.id,
+                former.entry.start_ms,
+                former.entry.addr,
+                former.present()
+            );
+        }
         if change == Change::Restarted {
             self.pool.close_idle(&id);
             self.record_crashes(&id);
