Infer outages of the store from calls, not from silence

Cause: a host that had asked the store nothing since the granter was lost took the age of its copy for an outage, gave each removal the grace of an expired entry, and as new granter told all hosts so. Evidence: no host logged dependency-lost for the store, yet all logged the removal as an ended grace (change=Gone revision=0) over 2 s after it.

Change: cluster::outage::Detector counts calls answered late and calls that fail for 0.9 s, and neither idle time nor pauses of the process. One failed call is no outage any more. A full list from another host gives a grace only if that host saw an outage. The grace ends 2.3 s after the outage; removals later than 1.5 s after it are final. New log lines store-outage and server-missing.

Ruled out: a slow or refused call (none in the logs of four hosts).

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -291,9 +291,9 @@
     /// Records that a backend server's entry is gone from the store as of `revision`. Returns
     /// whether the server counts as gone now.
     ///
-    /// With `may_return`, the entry may have expired because the store was unavailable. It then
-    /// counts as gone only if it has not returned by the time of [`Fleet::remove_expired`].
-    pub fn remove(&mut self, id: &str, revision: u64, may_return: bool, now: Instant) -> bool {
+    /// The entry may have expired because the store was unavailable, and come back for `grace`. It
+    /// then counts as gone only if it has not returned by the time of [`Fleet::remove_expired`].
+    pub fn remove(&mut self, id: &str, revision: u64, grace: Duration, now: Instant) -> bool {
         let Some(server) = self.servers.get_mut(id) else {
             return false;
         };
@@ -301,9 +301,9 @@
             return false;
         }
         server.revision = revision;
-        if may_return && server.status == Status::Ready {
+        if !grace.is_zero() && server.status == Status::Ready {
             server.missing_since.get_or_insert(now - self.lag);
-            server.grace_until.get_or_insert(now + EXPIRED_ENTRY_GRACE);
+            server.grace_until.get_or_insert(now + grace);
             return false;
         }
         server.mark_leaving(now - self.lag);
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -5,7 +5,8 @@
 
 use proptest::prelude::*;
 use tarragon_dispatch::fleet::{
-    AttemptClass, Change, Criteria, Entry, Fleet, Load, Location, Observation, Refusal, Status,
+    AttemptClass, Change, Criteria, EXPIRED_ENTRY_GRACE, Entry, Fleet, Load, Location, Observation,
+    Refusal, Status,
 };
 use tarragon_model::time::Instant;
 
@@ -263,7 +264,7 @@
     fleet.update(leaving, 9, NOW);
     assert_eq!(fleet.update(entry("x", "a1"), 8, NOW), Change::None);
     assert!(matches!(fleet.get("x").unwrap().status, Status::Leaving(_)));
-    assert!(!fleet.remove("x", 8, false, NOW));
+    assert!(!fleet.remove("x", 8, Duration::ZERO, NOW));
     assert!(fleet.get("x").unwrap().present());
 }
 
@@ -272,7 +273,7 @@
     let mut fleet = fleet();
     for id in ["back", "gone"] {
         fleet.update(entry(id, "a1"), 1, NOW);
-        assert!(!fleet.remove(id, 5, true, NOW));
+        assert!(!fleet.remove(id, 5, EXPIRED_ENTRY_GRACE, NOW));
     }
     fleet.update(entry("back", "a1"), 6, NOW);
     let later = NOW + Duration::from_millis(2_400);
@@ -285,7 +286,7 @@
     let mut fleet = fleet();
     fleet.update(entry("x", "a1"), 1, NOW);
     fleet.update(entry("y", "b1"), 2, NOW);
-    fleet.remove("x", 5, true, NOW);
+    fleet.remove("x", 5, EXPIRED_ENTRY_GRACE, NOW);
     assert_eq!(fleet.pick(&criteria(&[]), &|_| true, NOW).unwrap().id, "y");
     let drain = Duration::from_secs(2);
     let accepts = |ms| {
@@ -309,7 +310,7 @@
     let mut leaving = entry("x", "a1");
     leaving.draining = true;
     fleet.update(leaving, 3, NOW);
-    fleet.remove("y", 4, false, NOW);
+    fleet.remove("y", 4, Duration::ZERO, NOW);
     let drain = Duration::from_secs(2);
     for id in ["x", "y"] {
         assert!(!fleet.get(id).unwrap().accepts_keyed(drain, NOW), "{id}");
@@ -344,7 +345,7 @@
             fleet.update(entry, 1, NOW);
             served(&mut fleet, &id, *ms, None);
             if *state == 3 {
-                fleet.remove(&id, 2, false, NOW);
+                fleet.remove(&id, 2, Duration::ZERO, NOW);
             }
         }
         let open = states.iter().any(|(state, ..)| *state == 0);
@@ -420,7 +421,7 @@
         (old.is_superseded(), old.has_ended())
     };
     assert_eq!(old(&fleet), (true, false));
-    fleet.remove("old", 3, false, NOW);
+    fleet.remove("old", 3, Duration::ZERO, NOW);
     assert_eq!(old(&fleet), (true, true));
 }
 
--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -17,8 +17,10 @@
 use crate::edit::Edit;
 use crate::state::State;
 
+pub mod outage;
 mod watcher;
 
+use self::outage::Detector;
 pub use self::watcher::follow;
 
 /// Time that the granter's watch waits for changes; it bounds how long a dead watch goes unnoticed.
@@ -53,9 +55,6 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// Time without a response, besides the wait of a watch, after which entries may have expired
-/// unnoticed.
-const OUTAGE_TIME: Duration = Duration::from_millis(900);
 
 /// Copy of the cluster state, kept to serve hosts that cannot reach the store.
 #[derive(Default)]
@@ -65,8 +64,8 @@
     entries_revision: Cell<Version>,
     /// Revision of the last change or removal of an entry.
     last_change: Cell<Version>,
-    /// When the store responded again after an outage.
-    reconnected: Cell<Option<Instant>>,
+    /// Outages of the store, as this host's calls about entries show them.
+    outages: RefCell<Detector>,
     store_unavailable: Cell<bool>,
     /// When the store last confirmed each [`Subject`].
     confirmed: [Cell<Instant>; 2],
@@ -111,6 +110,31 @@
     /// Whether the entry may have expired during an outage of the store, and so may come back.
     #[serde(rename = "lapse")]
     pub may_return: bool,
+    /// Time for which it may come back, in milliseconds; hosts of the previous build omit it.
+    #[serde(default)]
+    pub grace_ms: Option<u64>,
+}
+
+impl Removal {
+    fn new(id: &str, revision: u64, grace: Duration) -> Self {
+        Self {
+            id: id.to_owned(),
+            revision,
+            may_return: !grace.is_zero(),
+            grace_ms: u64::try_from(grace.as_millis()).ok(),
+        }
+    }
+
+    /// Returns the time for which the entry may come back.
+    fn grace(&self) -> Duration {
+        if self.may_return {
+            self.grace_ms
+                .map_or(EXPIRED_ENTRY_GRACE, Duration::from_millis)
+                .min(EXPIRED_ENTRY_GRACE)
+        } else {
+            Duration::ZERO
+        }
+    }
 }
 
 /// Update that brings a host's entries up to date.
@@ -283,7 +307,7 @@
             self.apply_entry(state, object);
         }
         for removal in delta.removals {
-            self.remove_entry(state, &removal.id, removal.revision, removal.may_return);
+            self.remove_entry(state, &removal.id, removal.revision, removal.grace());
         }
         let reached = self.entries_revision.get().max(delta.revision);
         self.entries_revision.set(reached);
@@ -322,7 +346,15 @@
     }
 
     /// Applies a catalog and a full list of entries that another host sent.
-    pub fn apply_snapshot(&self, state: &State, catalog: Option<Object>, entries: Option<List>) {
+    ///
+    /// Entries that the list lacks may come back for `grace`.
+    pub fn apply_snapshot(
+        &self,
+        state: &State,
+        catalog: Option<Object>,
+        entries: Option<List>,
+        grace: Duration,
+    ) {
         if let Some(object) = catalog {
             self.apply_catalog(state, object);
         }
@@ -330,7 +362,7 @@
             && list.revision > self.entries_revision.get()
         {
             self.update_lag(state);
-            self.replace_entries(state, list, true);
+            self.replace_entries(state, list, grace);
         }
     }
 
@@ -373,19 +405,16 @@
         entries.insert(object.name.clone(), object);
     }
 
-    fn remove_entry(&self, state: &State, id: &str, revision: u64, may_return: bool) {
+    /// Removes an entry, which may come back for `grace`.
+    fn remove_entry(&self, state: &State, id: &str, revision: u64, grace: Duration) {
         if self.entries.borrow_mut().remove(id).is_some() {
             self.last_change
                 .set(self.last_change.get().max(Version(revision)));
-            let removal = Removal {
-                id: id.to_owned(),
-                revision,
-                may_return,
-            };
+            let removal = Removal::new(id, revision, grace);
             self.record_removal(removal.clone());
             self.unsent.borrow_mut().removals.push(removal);
         }
-        state.remove_server(id, revision, may_return);
+        state.remove_server(id, revision, grace);
     }
 
     fn record_removal(&self, removal: Removal) {
@@ -409,7 +438,7 @@
         state.fleet.borrow_mut().set_lag(lag);
     }
 
-    fn replace_entries(&self, state: &State, list: List, may_return: bool) {
+    fn replace_entries(&self, state: &State, list: List, grace: Duration) {
         let listed: HashSet<&str> = list.items.iter().map(|item| item.name.as_str()).collect();
         let removed: Vec<String> = {
             let known = self.entries.borrow();
@@ -417,7 +446,7 @@
             removed.cloned().collect()
         };
         for name in removed {
-            self.remove_entry(state, &name, list.revision.0, may_return);
+            self.remove_entry(state, &name, list.revision.0, grace);
         }
         self.entries_revision.set(list.revision);
         // The list does not name entries that were removed before it, so a host at an earlier
@@ -430,33 +459,47 @@
         }
     }
 
-    /// Returns whether entries that are missing now may have expired during an outage of the store.
-    fn removals_may_return(&self, state: &State) -> bool {
-        let now = state.now();
-        let reconnected = self.reconnected.get();
-        reconnected.is_some_and(|at| now.since(at) < EXPIRED_ENTRY_GRACE)
+    /// Returns for how long entries that are missing now may come back: they may have expired during
+    /// an outage of the store.
+    pub fn removal_grace(&self, state: &State) -> Duration {
+        self.outages.borrow().grace(state.now())
+    }
+
+    fn begin_call(&self, state: &State, subject: Subject) {
+        if subject == Subject::Entries {
+            self.outages.borrow_mut().begin_call(state.now());
+        }
     }
 
-    fn note_response(&self, state: &State, subject: Subject) {
+    /// Notes the response to a call that may have waited for changes for `wait`.
+    fn note_response(&self, state: &State, subject: Subject, wait: Duration) {
         let now = state.now();
-        let confirmed = &self.confirmed[subject as usize];
-        let first = confirmed.get() == Instant::ZERO;
-        if !first && now.since(confirmed.get()) > OUTAGE_TIME + self.watch_time() {
-            self.reconnected.set(Some(now));
+        if subject == Subject::Entries {
+            let outage = self.outages.borrow_mut().record_response(wait, now);
+            if let Some(outage) = outage {
+                log::info!("event=store-outage ended_after_ms={}", outage.as_millis());
+            }
         }
         if self.store_unavailable.replace(false) {
-            self.reconnected.set(Some(now));
             log::info!("event=dependency-regained peer=store");
         }
-        confirmed.set(now);
+        self.confirmed[subject as usize].set(now);
         state.metrics.count_store_call("read", "answered");
     }
 
-    fn note_failure(&self, state: &State, subject: Subject, error: &Error) {
+    /// Notes that a call failed that may have waited for changes for `wait`.
+    fn note_failure(&self, state: &State, subject: Subject, wait: Duration, error: &Error) {
         state.metrics.count_store_call("read", "failed");
         if !self.store_unavailable.replace(true) {
             log::warn!("event=dependency-lost peer=store subject={subject:?} error=\"{error}\"");
         }
-        state.fleet.borrow_mut().extend_grace(state.now());
+        let now = state.now();
+        let mut outages = self.outages.borrow_mut();
+        if subject == Subject::Entries {
+            outages.record_failure(wait, now);
+        }
+        if outages.is_ongoing(now) {
+            state.fleet.borrow_mut().extend_grace(now);
+        }
     }
 }
--- a/crates/edge/src/cluster/watcher.rs
+++ b/crates/edge/src/cluster/watcher.rs
@@ -10,6 +10,9 @@
 use super::{Cache, FIRST_START_WAIT, RELAY_CHECK_INTERVAL, Subject};
 use crate::state::State;
 
+/// Time between two checks for backend servers whose missing entries did not come back.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Follows the catalog and the entries until the process ends.
 pub async fn follow(state: Rc<State>, cluster: Rc<Cache>, api: Rc<dyn Api>) {
     if state.settings.first_start {
@@ -19,14 +22,15 @@
     }
     let catalog = follow_subject(&state, &cluster, &*api, Subject::Catalog);
     let entries = follow_subject(&state, &cluster, &*api, Subject::Entries);
-    let expiry = drop_missing_servers(&state);
+    let expiry = drop_missing_servers(&state, &cluster);
     tokio::join!(catalog, entries, expiry);
 }
 
 /// Drops backend servers whose missing entries did not come back in time.
-async fn drop_missing_servers(state: &State) {
+async fn drop_missing_servers(state: &State, cluster: &Cache) {
     while !state.stop.is_cancelled() {
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        tokio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
+        cluster.outages.borrow_mut().tick(state.now());
         let gone = state.fleet.borrow_mut().remove_expired(state.now());
         for id in gone {
             state.mark_server_gone(&id, 0);
@@ -51,9 +55,11 @@
             continue;
         }
         let began = state.now();
+        cluster.begin_call(state, subject);
+        let wait = position.map_or(Duration::ZERO, |_| cluster.watch_time());
         let result = match position {
             None => list(state, cluster, api, subject, kind).await,
-            Some(after) => watch(state, cluster, api, subject, kind, after).await,
+            Some(after) => watch(state, cluster, api, subject, kind, after, wait).await,
         };
         match result {
             Ok(next) => {
@@ -68,7 +74,7 @@
                 position = None;
             }
             Err(error) => {
-                cluster.note_failure(state, subject, &error);
+                cluster.note_failure(state, subject, wait, &error);
                 let jitter = rand::random::<f64>() * 0.5 + 0.75;
                 pause(state, cluster, failures, jitter).await;
                 failures += 1;
@@ -105,7 +111,7 @@
 ) -> Result<Version, Error> {
     let list = api.list(kind, &state.stop).await?;
     cluster.update_lag(state);
-    cluster.note_response(state, subject);
+    cluster.note_response(state, subject, Duration::ZERO);
     let revision = list.revision;
     match subject {
         Subject::Catalog => {
@@ -114,8 +120,8 @@
             }
         }
         Subject::Entries => {
-            let may_return = cluster.removals_may_return(state);
-            cluster.replace_entries(state, list, may_return);
+            let grace = cluster.removal_grace(state);
+            cluster.replace_entries(state, list, grace);
         }
     }
     Ok(revision)
@@ -128,12 +134,11 @@
     subject: Subject,
     kind: &str,
     after: Version,
+    wait: Duration,
 ) -> Result<Version, Error> {
-    let changes = api
-        .watch(kind, after, cluster.watch_time(), &state.stop)
-        .await?;
+    let changes = api.watch(kind, after, wait, &state.stop).await?;
     cluster.update_lag(state);
-    cluster.note_response(state, subject);
+    cluster.note_response(state, subject, wait);
     for change in changes.changes {
         match subject {
             Subject::Catalog if !change.deleted => cluster.apply_catalog(state, change.object),
@@ -153,7 +158,7 @@
         cluster.apply_entry(state, change.object);
         return;
     }
-    let may_return = cluster.removals_may_return(state);
+    let grace = cluster.removal_grace(state);
     let revision = change.object.version.0;
-    cluster.remove_entry(state, &change.object.name, revision, may_return);
+    cluster.remove_entry(state, &change.object.name, revision, grace);
 }
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tarragon_dispatch::fleet::EXPIRED_ENTRY_GRACE;
 use tarragon_model::time::Instant;
 
 use super::{Followed, Participant, Peer, Process, Record, Role, heartbeat, process_id};
@@ -140,8 +141,14 @@
                 entries,
                 keys,
             } => self.send_missing_state(link, (catalog, entries), &keys),
-            Frame::StateSnapshot { catalog, entries } => {
-                self.cluster.apply_snapshot(&self.state, catalog, entries);
+            Frame::StateSnapshot {
+                catalog,
+                entries,
+                grace_ms,
+            } => {
+                let grace = Duration::from_millis(grace_ms).min(EXPIRED_ENTRY_GRACE);
+                self.cluster
+                    .apply_snapshot(&self.state, catalog, entries, grace);
             }
         }
     }
@@ -163,8 +170,13 @@
             None => None,
         };
         if catalog.is_some() || entries.is_some() {
-            self.links
-                .send(link, &Frame::StateSnapshot { catalog, entries });
+            let grace = self.cluster.removal_grace(&self.state);
+            let snapshot = Frame::StateSnapshot {
+                catalog,
+                entries,
+                grace_ms: u64::try_from(grace.as_millis()).unwrap_or_default(),
+            };
+            self.links.send(link, &snapshot);
         }
         if matches!(self.role, Role::Granting(_)) {
             return;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -138,6 +138,9 @@
         catalog: Option<Object>,
         /// All entries of backend servers, if they are later than requested.
         entries: Option<List>,
+        /// Time for which entries that it lacks may still come back, in milliseconds.
+        #[serde(default)]
+        grace_ms: u64,
     },
 }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 use tarragon_dispatch::budget::Budget;
 use tarragon_dispatch::catalog::Catalog;
@@ -196,11 +197,16 @@
 
     /// Handles the removal of a backend server's entry from the store.
     ///
-    /// With `expired`, the entry may have expired while the store was unavailable, and may return.
-    pub fn remove_server(&self, id: &str, revision: u64, expired: bool) {
+    /// The entry may have expired while the store was unavailable, and come back for `grace`.
+    pub fn remove_server(&self, id: &str, revision: u64, grace: Duration) {
         let now = self.now();
-        if self.fleet.borrow_mut().remove(id, revision, expired, now) {
+        if self.fleet.borrow_mut().remove(id, revision, grace, now) {
             self.mark_server_gone(id, revision);
+        } else if !grace.is_zero() {
+            log::info!(
+                "event=server-missing id={id} revision={revision} grace_ms={}",
+                grace.as_millis()
+            );
         }
     }
 
--- a/crates/edge/tests/cluster.rs
+++ b/crates/edge/tests/cluster.rs
@@ -2,12 +2,17 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{entry, list, state};
 use serde_json::json;
 use tarragon_edge::cluster::{Cache, CatchUp, Delta, Removal};
 use tarragon_edge::state::State;
 use tarragon_store::object::{Object, Version};
 
+/// Time for which removed entries may come back.
+const NO_GRACE: Duration = Duration::ZERO;
+
 fn ids(cache: &Cache) -> Vec<String> {
     let Some(CatchUp::All(all)) = cache.entries_after(0) else {
         panic!("no removals are remembered since the start");
@@ -36,6 +41,7 @@
         &state,
         None,
         Some(list(10, &[entry("a", 5), entry("b", 9)])),
+        NO_GRACE,
     );
     // Writes of other kinds raise the store's revision.
     cache.advance_to(500);
@@ -50,7 +56,7 @@
 fn a_host_behind_a_list_is_sent_all_entries() {
     // The other host still has the entry "gone", and the list does not say that it was removed.
     let (state, cache) = (state(), Cache::default());
-    cache.apply_snapshot(&state, None, Some(list(120, &[entry("a", 5)])));
+    cache.apply_snapshot(&state, None, Some(list(120, &[entry("a", 5)])), NO_GRACE);
     let known_elsewhere = 100;
     assert!(cache.last_change() > known_elsewhere);
     let Some(CatchUp::All(entries)) = cache.entries_after(known_elsewhere) else {
@@ -62,8 +68,9 @@
         &other,
         None,
         Some(list(100, &[entry("a", 5), entry("gone", 6)])),
+        NO_GRACE,
     );
-    others.apply_snapshot(&other, None, Some(entries));
+    others.apply_snapshot(&other, None, Some(entries), NO_GRACE);
     assert_eq!(ids(&others), ["a"]);
 }
 
@@ -72,14 +79,14 @@
     let (from, sender) = (state(), Cache::default());
     let (to, receiver) = (state(), Cache::default());
     let all = list(10, &[entry("a", 5)]);
-    sender.apply_snapshot(&from, None, Some(all.clone()));
+    sender.apply_snapshot(&from, None, Some(all.clone()), NO_GRACE);
     assert!(sender.take_delta(from.now()).is_some());
-    receiver.apply_snapshot(&to, None, Some(all));
+    receiver.apply_snapshot(&to, None, Some(all), NO_GRACE);
     let two = list(12, &[entry("a", 5), entry("b", 12)]);
-    sender.apply_snapshot(&from, None, Some(two));
+    sender.apply_snapshot(&from, None, Some(two), NO_GRACE);
     let first = sender.take_delta(from.now()).expect("an entry is new");
     let three = list(14, &[entry("b", 12)]);
-    sender.apply_snapshot(&from, None, Some(three));
+    sender.apply_snapshot(&from, None, Some(three), NO_GRACE);
     let second = sender.take_delta(from.now()).expect("an entry is gone");
     assert!(
         !receiver.apply_delta(&to, second.clone()),
@@ -97,8 +104,8 @@
     let (from, sender) = (state(), Cache::default());
     let (to, receiver) = (state(), Cache::default());
     let all = list(10, &[entry("a", 5), entry("b", 9)]);
-    sender.apply_snapshot(&from, None, Some(all.clone()));
-    receiver.apply_snapshot(&to, None, Some(all));
+    sender.apply_snapshot(&from, None, Some(all.clone()), NO_GRACE);
+    receiver.apply_snapshot(&to, None, Some(all), NO_GRACE);
     // The receiver gets none of these.
     for delta in [
         (10, 12, vec![entry("c", 12)], vec![]),
@@ -111,6 +118,7 @@
                 id: id.to_owned(),
                 revision,
                 may_return: false,
+                grace_ms: None,
             });
         let delta = Delta {
             base: Version(base),
@@ -135,17 +143,17 @@
     let (from, sender) = (state(), Cache::default());
     let (to, receiver) = (state(), Cache::default());
     let first = catalog(1, 3, "same");
-    sender.apply_snapshot(&from, Some(first.clone()), None);
+    sender.apply_snapshot(&from, Some(first.clone()), None, NO_GRACE);
     sender.take_delta(from.now());
     let second = catalog(2, 8, "same");
-    sender.apply_snapshot(&from, Some(second), None);
-    let later = from.now() + std::time::Duration::from_secs(1);
+    sender.apply_snapshot(&from, Some(second), None, NO_GRACE);
+    let later = from.now() + Duration::from_secs(1);
     let delta = sender.take_delta(later).expect("the catalog changed");
     assert!(
         !receiver.apply_delta(&to, delta.clone()),
         "nothing to edit yet"
     );
-    receiver.apply_snapshot(&to, Some(first), None);
+    receiver.apply_snapshot(&to, Some(first), None, NO_GRACE);
     assert!(receiver.apply_delta(&to, delta));
     assert_eq!(to.catalog_revision(), 8);
     assert_eq!(to.catalog().version, 2);
@@ -154,14 +162,19 @@
 #[test]
 fn an_unreadable_catalog_or_entry_changes_nothing() {
     let (state, cache) = (state(), Cache::default());
-    cache.apply_snapshot(&state, Some(catalog(1, 3, "good")), None);
+    cache.apply_snapshot(&state, Some(catalog(1, 3, "good")), None, NO_GRACE);
     let mut bad = catalog(2, 4, "bad");
     bad.value = json!("not a catalog");
-    cache.apply_snapshot(&state, Some(bad), None);
+    cache.apply_snapshot(&state, Some(bad), None, NO_GRACE);
     assert_eq!(state.catalog_revision(), 3);
     let mut unreadable = entry("b", 6);
     unreadable.value = json!({ "born": "yesterday" });
-    cache.apply_snapshot(&state, None, Some(list(6, &[entry("a", 5), unreadable])));
+    cache.apply_snapshot(
+        &state,
+        None,
+        Some(list(6, &[entry("a", 5), unreadable])),
+        NO_GRACE,
+    );
     let known: Vec<_> = fleet_ids(&state);
     assert_eq!(known, ["a"]);
 }
