Show that a caller's disconnect goes unnoticed behind unread bytes

Cause: Socket::closed peeks for the end of the stream, which unread bytes of pipelined requests hide, so the request that is being handled runs on.

--- a/crates/edge/tests/connections.rs
+++ b/crates/edge/tests/connections.rs
@@ -51,3 +51,15 @@
         .await
         .unwrap();
 }
+
+/// Guards against requests that run on after their caller has sent further ones and disconnected.
+#[tokio::test]
+async fn a_disconnected_caller_is_detected_behind_unread_bytes() {
+    let (host, mut caller) = pair().await;
+    let socket = Socket::new(host);
+    caller.write_all(b"a further request").await.unwrap();
+    drop(caller);
+    timeout(Duration::from_secs(2), socket.closed())
+        .await
+        .unwrap();
+}
