Use the common store in the tests of outages

Cause: outages.rs held a second implementation of the store interface. Change: the common test store lists one entry and may wait patiently. Conclusion: tests only.

--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -1,4 +1,4 @@
-//! Store in memory that goes away and comes back.
+//! Store in memory that goes away and comes back, and that may list one entry.
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
@@ -8,7 +8,9 @@
 use serde_json::Value;
 use tarragon_store::api::{Api, ResponseFuture};
 use tarragon_store::error::{Error, Kind, Operation};
-use tarragon_store::object::{Changes, Key, List, Object, Version};
+use tarragon_store::object::{Change, Changes, Key, List, Object, Version};
+use tokio::sync::Notify;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 /// What the store does with calls.
@@ -21,9 +23,16 @@
     },
 }
 
+/// Longest wait of a watch, unless the store waits patiently.
+const SHORT_WAIT: Duration = Duration::from_millis(100);
+
 /// Store whose objects have one revision counter.
 pub struct Store {
     mode: Mutex<Mode>,
+    /// Entry that is listed until it is removed.
+    entry: Option<Object>,
+    removed: Notify,
+    max_wait: Duration,
     objects: Mutex<BTreeMap<(String, String), (Version, Value)>>,
     revision: Mutex<u64>,
     calls: AtomicU32,
@@ -33,12 +42,29 @@
     pub fn new() -> Self {
         Self {
             mode: Mutex::new(Mode::Serves),
+            entry: None,
+            removed: Notify::new(),
+            max_wait: SHORT_WAIT,
             objects: Mutex::default(),
             revision: Mutex::new(1),
             calls: AtomicU32::new(0),
         }
     }
 
+    /// Creates a store that lists one entry, and whose watches wait for their full time.
+    pub fn patient(entry: Object) -> Self {
+        Self {
+            entry: Some(entry),
+            max_wait: Duration::MAX,
+            ..Self::new()
+        }
+    }
+
+    /// Removes the entry, which ends a watch.
+    pub fn remove_entry(&self) {
+        self.removed.notify_one();
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         *self.mode.lock().unwrap() = mode;
     }
@@ -103,13 +129,14 @@
         Box::pin(async move { self.get(key) })
     }
 
-    fn list<'a>(&'a self, _: &'a str, _: &'a CancellationToken) -> ResponseFuture<'a, List> {
+    fn list<'a>(&'a self, kind: &'a str, _: &'a CancellationToken) -> ResponseFuture<'a, List> {
         self.calls.fetch_add(1, Ordering::SeqCst);
-        Box::pin(async {
+        Box::pin(async move {
             self.check_available()?;
+            let entry = self.entry.iter().filter(|entry| entry.kind == kind);
             Ok(List {
                 revision: Version(*self.revision.lock().unwrap()),
-                items: Vec::new(),
+                items: entry.cloned().collect(),
             })
         })
     }
@@ -135,7 +162,7 @@
 
     fn watch<'a>(
         &'a self,
-        _: &'a str,
+        kind: &'a str,
         after: Version,
         wait: Duration,
         _: &'a CancellationToken,
@@ -143,11 +170,25 @@
         self.calls.fetch_add(1, Ordering::SeqCst);
         Box::pin(async move {
             self.check_available()?;
-            tokio::time::sleep(wait.min(Duration::from_millis(100))).await;
+            let watched = self.entry.iter().find(|entry| entry.kind == kind);
+            let removed = async {
+                match watched {
+                    Some(_) => self.removed.notified().await,
+                    None => std::future::pending().await,
+                }
+            };
+            let change = timeout(wait.min(self.max_wait), removed).await;
             self.check_available()?;
+            let removed = watched.filter(|_| change.is_ok()).map(|entry| Object {
+                version: Version(after.0 + 1),
+                ..entry.clone()
+            });
             Ok(Changes {
-                revision: after,
-                changes: Vec::new(),
+                revision: Version(after.0 + u64::from(removed.is_some())),
+                changes: Vec::from_iter(removed.map(|object| Change {
+                    deleted: true,
+                    object,
+                })),
             })
         })
     }
--- a/crates/edge/tests/outages.rs
+++ b/crates/edge/tests/outages.rs
@@ -5,112 +5,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use common::store::Store;
 use common::{entry, list, state};
-use serde_json::Value;
 use tarragon_dispatch::fleet::Status;
 use tarragon_edge::cluster::outage::Detector;
 use tarragon_edge::cluster::{self, Cache};
 use tarragon_model::time::Instant;
-use tarragon_store::api::{Api, ResponseFuture};
-use tarragon_store::error::{Error, Kind, Operation};
-use tarragon_store::object::{Change, Changes, Key, List, Object, Version};
-use tokio::sync::Notify;
 use tokio::task::LocalSet;
-use tokio::time::{sleep, timeout};
-use tokio_util::sync::CancellationToken;
+use tokio::time::sleep;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Store with the entry "a", which [`Store::remove`] removes; each watch waits its full time.
-#[derive(Default)]
-struct Store(Notify);
-
-impl Store {
-    fn remove(&self) {
-        self.0.notify_one();
-    }
-}
-
-fn unavailable<T>() -> Result<T, Error> {
-    Err(Error::new(
-        Operation::Get,
-        "object",
-        "test",
-        Kind::Unavailable("not part of the test".to_owned()),
-    ))
-}
-
-impl Api for Store {
-    fn get<'a>(&'a self, _: Key<'a>, _: &'a CancellationToken) -> ResponseFuture<'a, Object> {
-        Box::pin(async { unavailable() })
-    }
-
-    fn list<'a>(&'a self, kind: &'a str, _: &'a CancellationToken) -> ResponseFuture<'a, List> {
-        let items = [entry("a", 5)];
-        let items = if kind == "entries" { &items[..] } else { &[] };
-        let list = list(10, items);
-        Box::pin(async { Ok(list) })
-    }
-
-    fn put<'a>(
-        &'a self,
-        _: Key<'a>,
-        _: Version,
-        _: &'a Value,
-        _: &'a CancellationToken,
-    ) -> ResponseFuture<'a, Version> {
-        Box::pin(async { unavailable() })
-    }
-
-    fn delete<'a>(
-        &'a self,
-        _: Key<'a>,
-        _: Version,
-        _: &'a CancellationToken,
-    ) -> ResponseFuture<'a, ()> {
-        Box::pin(async { unavailable() })
-    }
-
-    fn watch<'a>(
-        &'a self,
-        kind: &'a str,
-        after: Version,
-        wait: Duration,
-        _: &'a CancellationToken,
-    ) -> ResponseFuture<'a, Changes> {
-        Box::pin(async move {
-            let removed = async {
-                if kind == "entries" {
-                    self.0.notified().await;
-                } else {
-                    std::future::pending::<()>().await;
-                }
-            };
-            if timeout(wait, removed).await.is_err() {
-                return Ok(Changes {
-                    revision: after,
-                    changes: Vec::new(),
-                });
-            }
-            let gone = Change {
-                deleted: true,
-                object: entry("a", 19),
-            };
-            Ok(Changes {
-                revision: Version(19),
-                changes: vec![gone],
-            })
-        })
-    }
-}
-
 /// Guards against requests to a server that has left, after the granter's loss: the hosts took the
 /// time for which none of them had asked the store for an outage.
 #[tokio::test]
 async fn a_removal_after_the_loss_of_the_granter_is_final() {
     let test = async {
         let state = Rc::new(state());
-        let (cluster, store) = (Rc::new(Cache::default()), Rc::new(Store::default()));
+        let (cluster, store) = (Rc::new(Cache::default()), Store::patient(entry("a", 5)));
+        let store = Rc::new(store);
         cluster.apply_snapshot(
             &state,
             None,
@@ -123,7 +36,7 @@
         // The granter is silent from here on. Without changes, the first watch of this host ends
         // only after its full time.
         sleep(SECOND * 7 / 2).await;
-        store.remove();
+        store.remove_entry();
         sleep(SECOND / 2).await;
         let status = state.fleet.borrow().get("a").unwrap().status;
         assert!(matches!(status, Status::Leaving(_)), "{status:?}");
@@ -189,6 +102,7 @@
 
 macro_rules! outage {
     ($($name:ident: $expected:expr, [$($step:expr),* $(,)?];)*) => {$(
+        /// Guards against an outage that was none, or one that goes unnoticed.
         #[test]
         fn $name() {
             use Step::*;
