Retry at a full server only on a connection that is open

Callers saw: more 502s on the large fleet, since the change that keeps a retry off the connection of its first send.

Cause: the retry opened a new connection to the server that had just said that it was full, and a server with a long queue resets those.

Change: a request that a server refused as full goes to it again only if another connection to it is open and idle; otherwise it is rejected at once, with a true "not run" and Retry-After. After 421 a connection may be opened: that server need not be full. relay::Answered says what the exclusion rests on. Failure moves to a file of its own.

--- a/crates/edge/src/granting/command.rs
+++ b/crates/edge/src/granting/command.rs
@@ -93,6 +93,7 @@
         max_idle,
         deadline: tokio::time::Instant::now() + time,
         excluded: &[],
+        may_open: true,
     }
 }
 
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -126,6 +126,8 @@
     pub deadline: Instant,
     /// Connections that must not carry the request.
     pub excluded: &'a [Serial],
+    /// Whether a connection may be opened for the request.
+    pub may_open: bool,
 }
 
 impl Pool {
@@ -163,12 +165,14 @@
                     reused: true,
                 });
             }
-            if server.open.get() < server.limit(need.max_connections) {
+            if need.may_open && server.open.get() < server.limit(need.max_connections) {
                 let serial = self.next_serial();
                 return connect(server, serial, addr, self.unacknowledged_timeout).await;
             }
             // An idle connection that this request may not use makes room for a new one.
-            server.idle.borrow_mut().pop();
+            if need.may_open {
+                server.idle.borrow_mut().pop();
+            }
             let available = server.available.notified();
             if tokio::time::timeout_at(need.deadline, available)
                 .await
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -71,6 +71,29 @@
     pub body: Body,
 }
 
+/// Response to an earlier send of a request, after which its connection stayed open.
+///
+/// The connection does not carry the request again: its identifier cannot tell a second copy of that
+/// response from the response to a later send.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// Backend server that responded.
+    pub server: String,
+    /// Connection that carried the send.
+    pub connection: Serial,
+    /// Whether the server refused the request as it was full. It may reset a new connection then,
+    /// so the request is sent to it again only on one that is open.
+    pub full: bool,
+}
+
+/// One send of a request.
+pub struct Attempt {
+    /// Result.
+    pub outcome: Outcome,
+    /// Connection that carried the request, if one did.
+    pub connection: Option<Serial>,
+}
+
 /// Result of one send.
 pub enum Outcome {
     /// The backend server responded.
@@ -140,17 +163,48 @@
 
 /// Sends a request to the backend server `pick` and waits for its response.
 ///
-/// `connections` is the connection limit of the backend server. `used` lists the connections that
-/// carried earlier sends of the request. They do not carry it again, since its identifier cannot
-/// tell a second copy of an earlier response from the response to this send. `deadline` is
-/// forwarded to the server but not enforced here, except on a response that is forwarded as it
-/// arrives: the calling function must apply a timeout.
+/// `connections` is the connection limit of the backend server, and `earlier` lists the responses to
+/// earlier sends of the request. `deadline` is forwarded to the server but not enforced here, except
+/// on a response that is forwarded as it arrives: the calling function must apply a timeout.
 pub async fn send(
     state: &State,
     request: &CallerRequest,
     pick: &Pick,
     connections: u32,
-    used: &mut SmallVec<[Serial; 2]>,
+    earlier: &[Answered],
+    deadline: Instant,
+) -> Attempt {
+    let here = earlier.iter().filter(|answered| answered.server == pick.id);
+    let excluded: SmallVec<[Serial; 2]> =
+        here.clone().map(|answered| answered.connection).collect();
+    let may_open = !here.clone().any(|answered| answered.full);
+    let wait = if may_open {
+        CONNECTION_WAIT
+    } else {
+        Duration::ZERO
+    };
+    let need = Requirements {
+        max_connections: max_connections(connections, state.host_count.get()),
+        max_idle: request.max_idle(),
+        deadline: deadline.min(Instant::now() + wait),
+        excluded: &excluded,
+        may_open,
+    };
+    let mut connection = None;
+    let outcome = exchange(state, request, pick, need, &mut connection, deadline).await;
+    Attempt {
+        outcome,
+        connection,
+    }
+}
+
+/// Sends a request on a connection that meets `need`, and sets `used` to it.
+async fn exchange(
+    state: &State,
+    request: &CallerRequest,
+    pick: &Pick,
+    need: Requirements<'_>,
+    used: &mut Option<Serial>,
     deadline: Instant,
 ) -> Outcome {
     state.fleet.borrow_mut().record_sent(&pick.id);
@@ -160,15 +214,8 @@
         sent: Instant::now(),
         observation: None,
     };
-    let connection_deadline = deadline.min(Instant::now() + CONNECTION_WAIT);
     let mut outbound = request.outbound(state.platform.headers(), pick, deadline);
     loop {
-        let need = Requirements {
-            max_connections: max_connections(connections, state.host_count.get()),
-            max_idle: request.max_idle(),
-            deadline: connection_deadline,
-            excluded: used,
-        };
         let mut connection = match state.pool.acquire(&pick.id, pick.addr, need).await {
             Ok(connection) => connection,
             Err(pool::Error::Full { .. }) => return Outcome::Full,
@@ -177,7 +224,7 @@
                 return Outcome::NotSent(error.to_string());
             }
         };
-        used.push(connection.serial());
+        *used = Some(connection.serial());
         match connection.send(outbound).await {
             Ok(response) => {
                 return receive(state, request, response, connection, &mut guard, deadline).await;
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -13,16 +13,17 @@
 use tarragon_dispatch::table;
 use tokio::time::Instant;
 
-use crate::pool::Serial;
-use crate::relay::{self, CallerRequest, Outcome, ServerResponse};
+use crate::relay::{self, Answered, Attempt, CallerRequest, Outcome, ServerResponse};
 use crate::state::State;
 
+mod failure;
+
+pub use self::failure::{DEFAULT_RETRY_AFTER, Failure};
+
 /// Fraction of the remaining time for which a request waits for a holder of its key.
 const KEY_WAIT_FRACTION: f64 = 0.4;
 /// Pause before a keyed request is retried, cut short when a key map or a backend server changes.
 const KEY_RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// Default `Retry-After` of a request that was not run.
-pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Maximum number of sends of one request, including those that did not run it.
 const MAX_SENDS: u32 = 4;
 /// Maximum number of waits of one request for a connection; the relay limits the time of each.
@@ -30,67 +31,6 @@
 /// Remaining time below which a request is not retried.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
-/// Failure that the router reports itself, without a response to forward.
-#[derive(Clone, Copy, Debug)]
-pub struct Failure {
-    status: StatusCode,
-    reason: &'static str,
-    retry_after: Option<Duration>,
-}
-
-impl Failure {
-    /// Returns a failure that promises nothing about whether the request ran, unless the status
-    /// does.
-    #[must_use]
-    pub const fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self {
-            status,
-            reason,
-            retry_after: None,
-        }
-    }
-
-    /// Returns a refusal which guarantees that the request has not run and will not run.
-    #[must_use]
-    pub const fn not_run(reason: &'static str, retry_after: Duration) -> Self {
-        Self {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason,
-            retry_after: Some(retry_after),
-        }
-    }
-}
-
-impl Failure {
-    /// Returns the status of the response.
-    #[must_use]
-    pub const fn status(&self) -> StatusCode {
-        self.status
-    }
-
-    /// Returns the reason, for the log and the body of the response.
-    #[must_use]
-    pub const fn reason(&self) -> &'static str {
-        self.reason
-    }
-
-    /// Returns the time after which the caller may send the request again.
-    #[must_use]
-    pub const fn retry_after(&self) -> Option<Duration> {
-        self.retry_after
-    }
-
-    /// Returns the outcome for the log and the metrics.
-    #[must_use]
-    pub fn outcome(&self) -> &'static str {
-        match self.status {
-            StatusCode::SERVICE_UNAVAILABLE => "not-run",
-            status if status.is_client_error() => "refused",
-            _ => "unknown",
-        }
-    }
-}
-
 /// Request with its route, and the progress of its sends.
 pub struct Request<'a> {
     state: &'a State,
@@ -109,8 +49,8 @@
     /// Backend servers that denied holding the key of this request.
     denied_by: SmallVec<[String; 2]>,
     sends: u32,
-    /// Connections that carried a send.
-    connections_used: SmallVec<[Serial; 2]>,
+    /// Responses after which the request was, or may be, sent again.
+    answered: SmallVec<[Answered; 2]>,
     /// Whether a send is in progress.
     sending: bool,
     connection_waits: u32,
@@ -216,7 +156,7 @@
             may_have_run_on: HashSet::new(),
             denied_by: SmallVec::new(),
             sends: 0,
-            connections_used: SmallVec::new(),
+            answered: SmallVec::new(),
             sending: false,
             connection_waits: 0,
             trace,
@@ -272,14 +212,22 @@
             self.sending = true;
             let sent = Instant::now();
             let pick = &target.pick;
-            let used = &mut self.connections_used;
-            let sending = relay::send(state, &self.content, pick, connections, used, self.deadline);
-            let outcome = sending.await;
+            let earlier = &self.answered;
+            let sending = relay::send(
+                state,
+                &self.content,
+                pick,
+                connections,
+                earlier,
+                self.deadline,
+            );
+            let attempt = sending.await;
             self.sending = false;
-            state.metrics.count_send(outcome.name());
-            self.trace_send(pick, &outcome, sent);
-            self.record_claim(&target, &outcome);
-            match self.after_send(pick, outcome, keyed).await {
+            state.metrics.count_send(attempt.outcome.name());
+            self.trace_send(pick, &attempt, sent);
+            self.record_claim(&target, &attempt.outcome);
+            self.record_answer(pick, &attempt);
+            match self.after_send(pick, attempt.outcome, keyed).await {
                 Next::Done(response) => return Ok(response),
                 Next::Fail(failure) => return Err(failure),
                 Next::Retry => {}
@@ -288,6 +236,22 @@
         }
     }
 
+    /// Records a response that left its connection open.
+    fn record_answer(&mut self, pick: &Pick, attempt: &Attempt) {
+        let full = match attempt.outcome {
+            Outcome::NotRun(status) => status != StatusCode::MISDIRECTED_REQUEST,
+            Outcome::Response(_) => false,
+            _ => return,
+        };
+        if let Some(connection) = attempt.connection {
+            self.answered.push(Answered {
+                server: pick.id.clone(),
+                connection,
+                full,
+            });
+        }
+    }
+
     /// Records whether the backend server confirmed what led the request to it.
     fn record_claim(&mut self, target: &Target, outcome: &Outcome) {
         let state = self.state;
@@ -340,18 +304,17 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn trace_send(&mut self, pick: &Pick, outcome: &Outcome, sent: Instant) {
+    fn trace_send(&mut self, pick: &Pick, attempt: &Attempt, sent: Instant) {
+        let outcome = &attempt.outcome;
         let detail = match outcome {
             Outcome::Response(response) => response.status.as_u16().to_string(),
             Outcome::NotRun(status) => status.as_u16().to_string(),
             Outcome::Full | Outcome::OtherServer => "-".to_owned(),
             Outcome::NotSent(text) | Outcome::Unknown(text) => format!("\"{text}\""),
         };
-        let connection = match outcome {
-            Outcome::Full | Outcome::NotSent(_) => None,
-            _ => self.connections_used.last().map(ToString::to_string),
-        };
-        let connection = connection.as_deref().unwrap_or("-");
+        let connection = attempt
+            .connection
+            .map_or_else(|| "-".to_owned(), |c| c.to_string());
         append(
             &mut self.trace,
             format_args!(
@@ -501,6 +464,9 @@
     async fn after_send(&mut self, pick: &Pick, outcome: Outcome, key: Option<u16>) -> Next {
         match outcome {
             Outcome::Response(response) => self.after_response(pick, response),
+            Outcome::Full if self.answered.iter().any(|a| a.full && a.server == pick.id) => {
+                Next::Fail(self.failure("backend server refused", DEFAULT_RETRY_AFTER))
+            }
             Outcome::Full => {
                 self.sends -= 1;
                 self.connection_waits += 1;
