Log why an earlier granter counts as stopped

The logs of the incident on the large fleet don't tell why a granter took itself for the only one: only event=sole-granter is written, not which earlier granter was dropped on which ground, nor on which ground a record was claimed without one, nor how old the claim was.

Change: event=predecessor-dropped (process, reason), event=granter-gone, basis, replaces and took_ms in event=granter-elected, and replaces in event=plan-loaded. One line per decision. No decision changes.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -115,6 +115,19 @@
     pub voters: Vec<String>,
 }
 
+impl Process {
+    fn id(&self) -> String {
+        process_id(&self.host, self.incarnation)
+    }
+}
+
+impl Record {
+    /// Returns the identifier of the process that is or was the granter.
+    fn process_id(&self) -> String {
+        process_id(&self.host, self.incarnation)
+    }
+}
+
 impl Token for Record {
     fn token(&self) -> &str {
         &self.token
@@ -124,8 +137,14 @@
 /// Result of a store call about the election record.
 enum StoreResponse {
     Read(Result<Option<(Version, Record)>, Error>),
-    /// Result of a claim of the record, with the version that it expected.
-    Claimed(Version, Result<WriteOutcome<Record>, Error>),
+    /// Result of a claim of the record.
+    Claimed {
+        /// When it was sent.
+        sent: Instant,
+        /// Version that it expected.
+        expected: Version,
+        result: Result<WriteOutcome<Record>, Error>,
+    },
     /// Result of a renewal.
     Renewed {
         /// When it was sent.
--- a/crates/edge/src/election/elected.rs
+++ b/crates/edge/src/election/elected.rs
@@ -69,16 +69,11 @@
                 predecessor.blocked_since = None;
             }
         }
-        let stopped = |predecessor: &Predecessor| {
+        self.retain_predecessors("blocked", |predecessor| {
             predecessor
                 .blocked_since
-                .is_some_and(|at| now.since(at) >= BLOCKED_TIME)
-        };
-        if self.predecessors.iter().any(stopped) {
-            self.predecessors
-                .retain(|predecessor| !stopped(predecessor));
-            self.update_sole_granter();
-        }
+                .is_none_or(|at| now.since(at) < BLOCKED_TIME)
+        });
     }
 
     /// Returns whether no other host can have become granter yet.
@@ -115,14 +110,27 @@
         }
     }
 
-    /// Drops predecessors that have stopped.
-    pub(super) fn drop_predecessors(&mut self, has_stopped: impl Fn(&Process) -> bool) {
-        self.predecessors
-            .retain(|predecessor| !has_stopped(&predecessor.process));
-        self.update_sole_granter();
+    /// Drops predecessors that have stopped; `reason` tells the log how that is known.
+    pub(super) fn drop_predecessors(
+        &mut self,
+        reason: &str,
+        has_stopped: impl Fn(&Process) -> bool,
+    ) {
+        self.retain_predecessors(reason, |predecessor| !has_stopped(&predecessor.process));
     }
 
-    fn update_sole_granter(&mut self) {
+    fn retain_predecessors(&mut self, reason: &str, remains: impl Fn(&Predecessor) -> bool) {
+        let version = self.record_version;
+        self.predecessors.retain(|predecessor| {
+            let remains = remains(predecessor);
+            if !remains {
+                log::info!(
+                    "event=predecessor-dropped record_version={version} process={} reason={reason}",
+                    predecessor.process.id()
+                );
+            }
+            remains
+        });
         if self.predecessors.is_empty() {
             self.grants.set_sole_granter();
         }
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -33,6 +33,7 @@
             .as_ref()
             .is_some_and(|(_, record)| replaced(record))
         {
+            log::info!("event=granter-gone host={name} incarnation={incarnation}");
             self.granter_gone = true;
         }
         self.peers.insert(
@@ -47,7 +48,7 @@
         if let Role::Granting(elected) = &mut self.role {
             let has_stopped =
                 |process: &Process| process.host == name && process.incarnation != incarnation;
-            elected.drop_predecessors(has_stopped);
+            elected.drop_predecessors("restarted", has_stopped);
             self.links.send(
                 link,
                 &heartbeat(&self.state, &self.cluster, elected, hosts + 1),
@@ -285,7 +286,7 @@
         if let Role::Granting(elected) = &mut self.role
             && record_version <= elected.record_version.0
         {
-            elected.drop_predecessors(|process| Some(process.address) == from);
+            elected.drop_predecessors("stepped-down", |process| Some(process.address) == from);
         }
     }
 
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -65,7 +65,11 @@
     pub(super) fn on_store_response(&mut self, response: StoreResponse) {
         match response {
             StoreResponse::Read(result) => self.on_read(result),
-            StoreResponse::Claimed(expected, result) => self.on_claimed(expected, result),
+            StoreResponse::Claimed {
+                sent,
+                expected,
+                result,
+            } => self.on_claimed(sent, expected, result),
             StoreResponse::Renewed {
                 sent,
                 proposal,
@@ -139,6 +143,17 @@
         process_id(&self.state.settings.host, self.state.incarnation)
     }
 
+    /// Returns what allows this host to claim the record, for the log.
+    fn claim_basis(&self) -> &'static str {
+        match &self.record {
+            None => "absent",
+            Some((_, record)) if record.vacant => "vacant",
+            Some((_, record)) if record.host == self.state.settings.host => "own",
+            Some(_) if self.granter_gone => "gone",
+            Some(_) => "unrenewed",
+        }
+    }
+
     /// Returns the granters up to version `expected` of the record that may still send commands.
     pub(super) fn predecessors(&self, expected: Version) -> Vec<Process> {
         let known = self.record.as_ref();
@@ -167,13 +182,19 @@
         self.call_pending = true;
         let predecessors = self.predecessors(expected);
         let voters = vec![self.own_id()];
+        let sent = self.state.now();
         self.write_record(expected, voters, predecessors, move |result| {
-            StoreResponse::Claimed(expected, result)
+            StoreResponse::Claimed {
+                sent,
+                expected,
+                result,
+            }
         });
     }
 
     pub(super) fn on_claimed(
         &mut self,
+        sent: Instant,
         expected: Version,
         result: Result<WriteOutcome<Record>, Error>,
     ) {
@@ -189,7 +210,12 @@
         let now = self.state.now();
         let predecessors = self.predecessors(expected);
         log::info!(
-            "event=granter-elected term={record_version} predecessors={}",
+            "event=granter-elected term={record_version} replaces={} basis={} took_ms={} predecessors={}",
+            self.record
+                .as_ref()
+                .map_or_else(|| "-".to_owned(), |(_, record)| record.process_id()),
+            self.claim_basis(),
+            now.since(sent).as_millis(),
             predecessors
                 .iter()
                 .map(|process| process.host.as_str())
--- a/crates/edge/src/granting/plans.rs
+++ b/crates/edge/src/granting/plans.rs
@@ -120,9 +120,13 @@
         match result {
             Ok(Some((version, record))) => {
                 log::info!(
-                    "event=plan-loaded service={name} version={version} sequence={} term={} sole_granter={}",
+                    "event=plan-loaded service={name} version={version} sequence={} term={} replaces={} sole_granter={}",
                     record.plan.sequence,
                     record.term,
+                    service
+                        .granter
+                        .as_ref()
+                        .map_or(0, |granter| granter.plan().sequence),
                     self.sole_granter
                 );
                 service.version = version;
