Show how late commands are sent and how late the process runs

Change: two histograms of the delays of commands by action, one of the lag of the granter's 50 ms tick (an existing task, so no further wake-up), and the lines event=command-slow (over 1 s for a grant, at most four a second) and event=loop-lag (over 300 ms, at most one a second), each with the number of lines dropped before it. No decision changes.

The price in processor time was not measured.

Conclusion: a grant that leaves late, or whose outcome is late, now shows with its keys and fence.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -25,6 +25,7 @@
 use self::elected::Elected;
 use crate::cluster::Cache;
 use crate::granting::{Completion, Update};
+use crate::lag;
 use crate::peer::{Event, Frame, Links};
 use crate::state::State;
 
@@ -239,6 +240,7 @@
     };
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut lag = lag::Monitor::default();
     loop {
         tokio::select! {
             () = state.leaving.cancelled(), if !participant.leaving => {
@@ -249,7 +251,11 @@
             Some(event) = events.recv() => participant.on_event(event),
             Some(response) = received_responses.recv() => participant.on_store_response(response),
             Some(completion) = received_completions.recv() => participant.on_completion(completion),
-            _ = ticks.tick() => {
+            due = ticks.tick() => {
+                // Stepping down waits for the store, which is no lag.
+                if !participant.leaving {
+                    lag.record(&state.metrics, due, tokio::time::Instant::now());
+                }
                 participant.tick();
                 participant.step_down_if_due().await;
             }
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -25,6 +25,7 @@
 use crate::state::State;
 
 pub mod command;
+mod delay;
 mod plans;
 
 /// Kind of the store objects that hold a service's plan.
@@ -150,6 +151,7 @@
     failures: HashMap<String, (Instant, Instant)>,
     /// Until when no other host can be granter; grants are sent only before.
     send_until: Rc<Cell<Instant>>,
+    delays: delay::Monitor,
 }
 
 impl Grants {
@@ -175,6 +177,7 @@
             services: BTreeMap::new(),
             failures: HashMap::new(),
             send_until: Rc::new(Cell::new(Instant::ZERO)),
+            delays: delay::Monitor::default(),
         }
     }
 
@@ -417,6 +420,8 @@
             CommandOutcome::NotSent => "not-sent",
             CommandOutcome::Refused => "refused",
         };
+        let metrics = &self.state.metrics;
+        self.delays.record(metrics, command, (due, sent), text, now);
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod granting;
 pub mod keys;
+pub mod lag;
 pub mod logging;
 pub mod metrics;
 pub mod peer;
--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -9,10 +9,14 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 /// Maximum number of lines that wait for the writer.
 const QUEUE_LINES: usize = 2_048;
 /// Time for which the writer collects lines into one write.
 const BATCH_TIME: Duration = Duration::from_millis(100);
+/// Period in which a [`Limiter`] counts lines.
+const LIMIT_PERIOD: Duration = Duration::from_secs(1);
 
 /// Queues log lines for the writer thread; never blocks.
 pub struct Queue {
@@ -20,6 +24,45 @@
     dropped: Arc<AtomicU64>,
 }
 
+/// Limits the lines of one event.
+pub struct Limiter {
+    lines_per_s: u32,
+    since: Option<Instant>,
+    lines: u32,
+    dropped: u64,
+}
+
+impl Limiter {
+    /// Creates a limiter for a number of lines in a second.
+    #[must_use]
+    pub const fn new(lines_per_s: u32) -> Self {
+        Self {
+            lines_per_s,
+            since: None,
+            lines: 0,
+            dropped: 0,
+        }
+    }
+
+    /// Returns how many lines were dropped since the last one if another may be written, or else
+    /// counts it as dropped.
+    pub fn allow(&mut self, now: Instant) -> Option<u64> {
+        let fresh = self
+            .since
+            .is_none_or(|since| now.saturating_duration_since(since) >= LIMIT_PERIOD);
+        if fresh {
+            self.since = Some(now);
+            self.lines = 0;
+        }
+        if self.lines >= self.lines_per_s {
+            self.dropped += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.dropped))
+    }
+}
+
 /// Starts the writer thread and routes the `log` macros to it.
 ///
 /// # Errors
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,10 +1,15 @@
 //! Counters and histograms of the process, following OpenTelemetry conventions.
 
+use std::time::Duration;
+
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+/// Upper bounds of the buckets of delays, in seconds.
+const DELAY_BUCKETS_S: [f64; 11] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 1.05, 1.55, 2.5, 5.0, 10.0];
+
 /// Metric instruments of the process.
 pub struct Metrics {
     registry: Registry,
@@ -13,6 +18,9 @@
     duration: Histogram<f64>,
     sends: Counter<u64>,
     commands: Counter<u64>,
+    command_send_delays: Histogram<f64>,
+    command_durations: Histogram<f64>,
+    loop_lags: Histogram<f64>,
     store_calls: Counter<u64>,
     state_changes: Counter<u64>,
     frame_bytes: Counter<u64>,
@@ -39,6 +47,13 @@
         }
         let provider = builder.build();
         let meter = provider.meter("tarragonthread");
+        let delays = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_boundaries(DELAY_BUCKETS_S.to_vec())
+                .build()
+        };
         Self {
             requests: meter.u64_counter("tarragon.edge.requests").build(),
             duration: meter
@@ -47,6 +62,9 @@
                 .build(),
             sends: meter.u64_counter("tarragon.edge.sends").build(),
             commands: meter.u64_counter("tarragon.edge.orders").build(),
+            command_send_delays: delays("tarragon.edge.command.send_delay"),
+            command_durations: delays("tarragon.edge.command.duration"),
+            loop_lags: delays("tarragon.edge.loop_lag"),
             store_calls: meter.u64_counter("tarragon.edge.store_calls").build(),
             state_changes: meter.u64_counter("tarragon.edge.beliefs").build(),
             frame_bytes: meter
@@ -79,6 +97,22 @@
         self.commands.add(1, &labels);
     }
 
+    /// Records the times from due to sent, if it was sent, and from due to the outcome of a command,
+    /// by its action.
+    pub fn record_command(&self, action: &'static str, sent: Option<Duration>, outcome: Duration) {
+        let labels = [KeyValue::new("action", action)];
+        if let Some(sent) = sent {
+            self.command_send_delays.record(sent.as_secs_f64(), &labels);
+        }
+        self.command_durations
+            .record(outcome.as_secs_f64(), &labels);
+    }
+
+    /// Records how late a periodic task ran.
+    pub fn record_loop_lag(&self, lag: Duration) {
+        self.loop_lags.record(lag.as_secs_f64(), &[]);
+    }
+
     /// Counts a call to the store, by its step, `read` or `write`, and its result.
     pub fn count_store_call(&self, step: &'static str, result: &'static str) {
         let labels = [KeyValue::new("step", step), KeyValue::new("result", result)];
