Void a claim that is answered after a later granter was heard

Cause: a host whose claim of the record has taken effect, but isn't answered yet, still answers a later granter's announcement with 'stepped down', and follows its heartbeats. The later granter then counts it as stopped and itself as the only one. When the claim is answered, the host becomes granter all the same: on_claimed ignored what the pledge says, and its only voter is itself, so it counts as confirmed until the store answers its first renewal. A claim whose response is lost is resolved in up to five reads, some seconds later; another host claims the record 1.2 s after it was last renewed.

Change: the answer to an announcement pledges the host to that version, and on_claimed does not grant under a version before the pledge. A later claim of the host has a higher version, so it is not held up.

Conclusion: a way to two granters that count as the only one.

--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -274,6 +274,8 @@
             });
         }
         if !matches!(self.role, Role::Granting(_)) {
+            // A claim that has taken effect may not be answered yet.
+            self.pledge.follow(record_version);
             self.links
                 .send(link, &Frame::SteppedDown { record_version });
         }
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -208,6 +208,13 @@
             }
         };
         let now = self.state.now();
+        if !self.pledge.follow(record_version.0) {
+            log::info!(
+                "event=election-claim-void version={record_version} took_ms={}",
+                now.since(sent).as_millis()
+            );
+            return;
+        }
         let predecessors = self.predecessors(expected);
         log::info!(
             "event=granter-elected term={record_version} replaces={} basis={} took_ms={} predecessors={}",
@@ -222,7 +229,6 @@
                 .collect::<Vec<_>>()
                 .join(",")
         );
-        self.pledge.follow(record_version.0);
         self.cluster.become_granter();
         self.state.is_granter.set(true);
         let grants = Grants::new(
--- /dev/null
+++ b/crates/edge/tests/election.rs
@@ -0,0 +1,206 @@
+//! Which earlier granters count as stopped, and on whose word.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use common::state;
+use common::store::Store;
+use serde_json::{Value, json};
+use tarragon_edge::cluster::Cache;
+use tarragon_edge::election;
+use tarragon_edge::peer::{Event, Frame, Links};
+use tarragon_edge::state::State;
+use tarragon_store::api::{Api, ResponseFuture};
+use tarragon_store::object::{Changes, Key, List, Object, Version};
+use tokio::sync::mpsc::{self, Sender};
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+const KEY: Key<'static> = Key {
+    kind: "tarragon-offices",
+    name: "granter",
+};
+/// Link on which tests put frames of a host that has no connection.
+const LINK: u64 = 1_000;
+
+/// Store whose responses to writes are late.
+struct SlowStore {
+    store: Store,
+    delay_ms: AtomicU64,
+}
+
+impl SlowStore {
+    fn new() -> Rc<Self> {
+        Rc::new(Self {
+            store: Store::new(),
+            delay_ms: AtomicU64::new(0),
+        })
+    }
+
+    fn delay_writes(&self, delay: Duration) {
+        let delay = u64::try_from(delay.as_millis()).unwrap();
+        self.delay_ms.store(delay, Ordering::SeqCst);
+    }
+
+    async fn record(&self) -> Option<(Version, Value)> {
+        let object = self.store.get(KEY, &CancellationToken::new()).await.ok()?;
+        Some((object.version, object.value))
+    }
+
+    /// Writes a record that names a process, over the present one.
+    async fn name_granter(&self, process: &Process, vacant: bool) -> u64 {
+        let expected = self.record().await.map_or(Version::ABSENT, |known| known.0);
+        let record = json!({
+            "token": rand::random::<u64>().to_string(),
+            "host": process.host,
+            "address": process.address,
+            "incarnation": process.incarnation,
+            "vacant": vacant,
+            "voters": [format!("{}/{}", process.host, process.incarnation)],
+        });
+        let stop = CancellationToken::new();
+        let written = self.store.put(KEY, expected, &record, &stop).await;
+        written.unwrap().0
+    }
+}
+
+impl Api for SlowStore {
+    fn get<'a>(&'a self, key: Key<'a>, stop: &'a CancellationToken) -> ResponseFuture<'a, Object> {
+        self.store.get(key, stop)
+    }
+
+    fn list<'a>(&'a self, kind: &'a str, stop: &'a CancellationToken) -> ResponseFuture<'a, List> {
+        self.store.list(kind, stop)
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: Key<'a>,
+        expected: Version,
+        value: &'a Value,
+        stop: &'a CancellationToken,
+    ) -> ResponseFuture<'a, Version> {
+        let delay = Duration::from_millis(self.delay_ms.load(Ordering::SeqCst));
+        Box::pin(async move {
+            let response = self.store.put(key, expected, value, stop).await;
+            sleep(delay).await;
+            response
+        })
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: Key<'a>,
+        expected: Version,
+        stop: &'a CancellationToken,
+    ) -> ResponseFuture<'a, ()> {
+        self.store.delete(key, expected, stop)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        kind: &'a str,
+        after: Version,
+        wait: Duration,
+        stop: &'a CancellationToken,
+    ) -> ResponseFuture<'a, Changes> {
+        self.store.watch(kind, after, wait, stop)
+    }
+}
+
+/// Process of another host.
+struct Process {
+    host: &'static str,
+    incarnation: u64,
+    address: SocketAddr,
+}
+
+/// Host under test.
+struct Host {
+    state: Rc<State>,
+    events: Sender<Event>,
+}
+
+impl Host {
+    fn start(store: Rc<SlowStore>) -> Self {
+        let state = Rc::new(state());
+        let (events, incoming) = mpsc::channel(16);
+        let links = Links::new(state.clone(), events.clone());
+        let cluster = Rc::new(Cache::default());
+        let election = election::run(state.clone(), cluster, links, store, incoming);
+        tokio::task::spawn_local(election);
+        Self { state, events }
+    }
+
+    async fn receive(&self, frame: Frame) {
+        let event = Event::Frame { link: LINK, frame };
+        self.events.send(event).await.unwrap();
+    }
+
+    async fn is_granter_within(&self, time: Duration) -> bool {
+        let elected = async {
+            while !self.state.is_granter.get() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(time, elected).await.is_ok()
+    }
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+fn heartbeat(record_version: u64) -> Frame {
+    Frame::Heartbeat {
+        record_version,
+        sent_us: 1,
+        hosts: 2,
+        max_cores: 0.2,
+        state_age_ms: 0,
+        catalog: 0,
+        entries: 0,
+        changed: 0,
+    }
+}
+
+/// Runs a host whose claim is answered after a later granter has told it of its term.
+async fn claim_answered_late(frame: impl Fn(u64) -> Frame) {
+    let store = SlowStore::new();
+    store.delay_writes(Duration::from_millis(600));
+    let host = Host::start(store.clone());
+    while store.record().await.is_none() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let later = Process {
+        host: "later",
+        incarnation: 7,
+        address: address(),
+    };
+    let version = store.name_granter(&later, false).await;
+    host.receive(frame(version)).await;
+    let elected = host.is_granter_within(Duration::from_secs(1)).await;
+    host.state.stop.cancel();
+    assert!(!elected, "the claim is older than the term it was told of");
+}
+
+macro_rules! late_claim {
+    ($($name:ident: $frame:expr;)*) => {$(
+        /// Guards against a granter that another one had counted as stopped before its election.
+        #[tokio::test]
+        async fn $name() {
+            LocalSet::new().run_until(claim_answered_late($frame)).await;
+        }
+    )*};
+}
+
+late_claim! {
+    a_claim_answered_after_a_later_announcement_is_void:
+        |record_version| Frame::Elected { record_version, address: address() };
+    a_claim_answered_after_a_later_heartbeat_is_void: heartbeat;
+}
