Take a word of stepping down only for the present term

Cause: 'stepped down' names the version of the announcement that it answers, and says that the sender isn't the granter under any version before. The granter took it if that version was at most its own. So one that answers an announcement of an earlier term, and comes late (a partition that holds bytes up), drops the predecessor that was elected after it was said.

Change: the version must be at least the granter's term.

--- a/crates/edge/src/election/elected.rs
+++ b/crates/edge/src/election/elected.rs
@@ -12,6 +12,8 @@
 
 pub(super) struct Elected {
     pub(super) grants: Grants,
+    /// Version of the record after the claim.
+    pub(super) term: Version,
     /// Version of the record after the latest renewal.
     pub(super) record_version: Version,
     /// When a renewal last started; zero makes the next one due at once.
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -283,10 +283,12 @@
     }
 
     /// Notes that the host on a link is not the granter under any earlier version of the record.
+    ///
+    /// A host that says so of a version before this term may have been the granter since.
     pub(super) fn on_stepped_down(&mut self, link: u64, record_version: u64) {
         let from = self.peers.get(&link).and_then(|peer| peer.dialled);
         if let Role::Granting(elected) = &mut self.role
-            && record_version <= elected.record_version.0
+            && (elected.term.0..=elected.record_version.0).contains(&record_version)
         {
             elected.drop_predecessors("stepped-down", |process| Some(process.address) == from);
         }
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -240,6 +240,7 @@
         );
         self.role = Role::Granting(Box::new(Elected {
             grants,
+            term: record_version,
             record_version,
             last_renewal: now,
             renewing: false,
--- a/crates/edge/tests/election.rs
+++ b/crates/edge/tests/election.rs
@@ -16,7 +16,8 @@
 use tarragon_edge::state::State;
 use tarragon_store::api::{Api, ResponseFuture};
 use tarragon_store::object::{Changes, Key, List, Object, Version};
-use tokio::sync::mpsc::{self, Sender};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -67,6 +68,14 @@
         let written = self.store.put(KEY, expected, &record, &stop).await;
         written.unwrap().0
     }
+
+    /// Returns the hosts that the record names as earlier granters.
+    async fn predecessors(&self) -> Vec<String> {
+        let (_, record) = self.record().await.unwrap();
+        let former = record["former"].as_array().unwrap();
+        let host = |process: &Value| process["host"].as_str().unwrap().to_owned();
+        former.iter().map(host).collect()
+    }
 }
 
 impl Api for SlowStore {
@@ -152,6 +161,45 @@
     }
 }
 
+/// Other end of the links to a host.
+struct Peer {
+    links: Rc<Links>,
+    events: Receiver<Event>,
+    address: SocketAddr,
+}
+
+impl Peer {
+    async fn start(host: &str, incarnation: u64) -> Self {
+        let mut state = state();
+        state.settings.host = host.to_owned();
+        state.incarnation = incarnation;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (events, incoming) = mpsc::channel(256);
+        let links = Links::new(Rc::new(state), events);
+        tokio::task::spawn_local(links.clone().serve(listener));
+        Self {
+            links,
+            events: incoming,
+            address,
+        }
+    }
+
+    /// Waits until the host announces its term; returns the link and the record's version.
+    async fn announcement(&mut self) -> (u64, u64) {
+        loop {
+            let event = timeout(Duration::from_secs(5), self.events.recv()).await;
+            if let Event::Frame {
+                link,
+                frame: Frame::Elected { record_version, .. },
+            } = event.expect("an announcement").unwrap()
+            {
+                return (link, record_version);
+            }
+        }
+    }
+}
+
 fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 9))
 }
@@ -204,3 +252,57 @@
         |record_version| Frame::Elected { record_version, address: address() };
     a_claim_answered_after_a_later_heartbeat_is_void: heartbeat;
 }
+
+/// Process that holds a link to a new granter, and what it says of the process that the granter
+/// replaced, the incarnation 7 of the host `former`.
+struct Claim {
+    host: &'static str,
+    incarnation: u64,
+    /// Version up to which it says that it has stepped down, for the granter's term.
+    stepped_down: Option<fn(u64) -> u64>,
+}
+
+/// Returns whether a granter no longer counts the replaced process as able to send commands.
+async fn is_dropped(claim: Claim) -> bool {
+    let mut peer = Peer::start(claim.host, claim.incarnation).await;
+    let store = SlowStore::new();
+    let former = Process {
+        host: "former",
+        incarnation: 7,
+        address: peer.address,
+    };
+    store.name_granter(&former, false).await;
+    let host = Host::start(store.clone());
+    assert!(host.is_granter_within(Duration::from_secs(4)).await);
+    let (link, term) = peer.announcement().await;
+    if let Some(version) = claim.stepped_down {
+        let record_version = version(term);
+        let frame = Frame::SteppedDown { record_version };
+        peer.links.send(link, &frame);
+    }
+    // The next renewal writes the list anew.
+    sleep(Duration::from_millis(1_600)).await;
+    host.state.stop.cancel();
+    store.predecessors().await.is_empty()
+}
+
+macro_rules! predecessor {
+    ($($name:ident: $expected:literal, $claim:expr;)*) => {$(
+        /// Guards against a granter that counts as the only one on another process's word, or on an
+        /// old one.
+        #[tokio::test]
+        async fn $name() {
+            let dropped = LocalSet::new().run_until(is_dropped($claim)).await;
+            assert_eq!(dropped, $expected);
+        }
+    )*};
+}
+
+predecessor! {
+    a_predecessor_that_says_nothing_remains: false,
+        Claim { host: "former", incarnation: 7, stepped_down: None };
+    a_predecessor_that_stepped_down_is_dropped: true,
+        Claim { host: "former", incarnation: 7, stepped_down: Some(|term| term) };
+    a_predecessor_that_stepped_down_before_an_earlier_term_remains: false,
+        Claim { host: "former", incarnation: 7, stepped_down: Some(|term| term - 1) };
+}
