Take stepping down only from the process that is meant

Cause: a predecessor was dropped when whatever process answers at its address said that it had stepped down. The link knows which host and which incarnation it leads to; the address was all that was compared.

Change: host and incarnation of the link must be the predecessor's.

Conclusion: found by reading; that a host takes over a living host's address is not shown to occur. A predecessor that has died and whose address another host uses now is dropped when half of its voters follow, not by that host's word.

--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -286,11 +286,15 @@
     ///
     /// A host that says so of a version before this term may have been the granter since.
     pub(super) fn on_stepped_down(&mut self, link: u64, record_version: u64) {
-        let from = self.peers.get(&link).and_then(|peer| peer.dialled);
+        let Some(peer) = self.peers.get(&link) else {
+            return;
+        };
         if let Role::Granting(elected) = &mut self.role
             && (elected.term.0..=elected.record_version.0).contains(&record_version)
         {
-            elected.drop_predecessors("stepped-down", |process| Some(process.address) == from);
+            elected.drop_predecessors("stepped-down", |process| {
+                process.host == peer.host && process.incarnation == peer.incarnation
+            });
         }
     }
 
--- a/crates/edge/tests/election.rs
+++ b/crates/edge/tests/election.rs
@@ -305,4 +305,6 @@
         Claim { host: "former", incarnation: 7, stepped_down: Some(|term| term) };
     a_predecessor_that_stepped_down_before_an_earlier_term_remains: false,
         Claim { host: "former", incarnation: 7, stepped_down: Some(|term| term - 1) };
+    a_predecessor_whose_address_another_host_uses_remains: false,
+        Claim { host: "other", incarnation: 9, stepped_down: Some(|term| term) };
 }
