Take only a later process as proof that one has ended

Cause: a link to any other incarnation of a granter's host counted as proof that the granter's process had ended, also to an earlier incarnation. A link event that is handled late (a process that stood still, with the greeting of a process that has ended since in its buffers) then drops a granter that lives.

Change: the incarnation must be higher. Incarnations are start times.

Evidence: a_predecessor_with_an_earlier_process_remains failed before ('left: true, right: false': the record was claimed without predecessors); a_predecessor_with_a_later_process_is_dropped passed before and now.

Conclusion: found by reading; not shown to occur in a play.

--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -27,7 +27,8 @@
         log::info!("event=link-up link={link} host={host} incarnation={incarnation}");
         let dialled = self.peers.remove(&link).and_then(|peer| peer.dialled);
         let name = host.clone();
-        let replaced = |record: &Record| record.host == name && record.incarnation != incarnation;
+        // A link of an earlier process may come up late.
+        let replaced = |record: &Record| record.host == name && record.incarnation < incarnation;
         if self
             .record
             .as_ref()
@@ -47,7 +48,7 @@
         let hosts = self.hosts.len();
         if let Role::Granting(elected) = &mut self.role {
             let has_stopped =
-                |process: &Process| process.host == name && process.incarnation != incarnation;
+                |process: &Process| process.host == name && process.incarnation < incarnation;
             elected.drop_predecessors("restarted", has_stopped);
             self.links.send(
                 link,
--- a/crates/edge/tests/election.rs
+++ b/crates/edge/tests/election.rs
@@ -307,4 +307,8 @@
         Claim { host: "former", incarnation: 7, stepped_down: Some(|term| term - 1) };
     a_predecessor_whose_address_another_host_uses_remains: false,
         Claim { host: "other", incarnation: 9, stepped_down: Some(|term| term) };
+    a_predecessor_with_a_later_process_is_dropped: true,
+        Claim { host: "former", incarnation: 8, stepped_down: None };
+    a_predecessor_with_an_earlier_process_remains: false,
+        Claim { host: "former", incarnation: 6, stepped_down: None };
 }
