--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -27,7 +27,8 @@
         log::info!("event=link-up link={link} host={host} incarnation={incarnation}");
         let dialled = self.peers.remove(&link).and_then(|peer| peer.dialled);
         let name = host.clone();
-        let replaced = |record: &Record| record.host == name && record.incarnation != incarnation;
+        // A link of an earlier process may come up late.
+        let replaced = |record: &Record| record.host == name && record.incarnation < incarnation;
         if self
             .record
             .as_ref()
@@ -47,7 +48,7 @@
         let hosts = self.hosts.len();
         if let Role::Granting(elected) = &mut self.role {
             let has_stopped =
-                |process: &Process| process.host == name && process.incarnation != incarnation;
+                |process: &Process| process.host == name && process.incarnation < incarnation;
             elected.drop_predecessors("restarted", has_stopped);
             self.links.send(
                 link,
@@ -274,6 +275,8 @@
             });
         }
         if !matches!(self.role, Role::Granting(_)) {
+            // A claim that has taken effect may not be answered yet.
+            self.pledge.follow(record_version);
             self.links
                 .send(link, &Frame::SteppedDown { record_version });
         }
@@ -281,12 +284,18 @@
     }
 
     /// Notes that the host on a link is not the granter under any earlier version of the record.
+    ///
+    /// A host that says so of a version before this term may have been the granter since.
     pub(super) fn on_stepped_down(&mut self, link: u64, record_version: u64) {
-        let from = self.peers.get(&link).and_then(|peer| peer.dialled);
+        let Some(peer) = self.peers.get(&link) else {
+            return;
+        };
         if let Role::Granting(elected) = &mut self.role
-            && record_version <= elected.record_version.0
+            && (elected.term.0..=elected.record_version.0).contains(&record_version)
         {
-            elected.drop_predecessors("stepped-down", |process| Some(process.address) == from);
+            elected.drop_predecessors("stepped-down", |process| {
+                process.host == peer.host && process.incarnation == peer.incarnation
+            });
         }
     }
 
