Log why keys may go to their next holder

Cause: nothing in the logs tells why the granter took keys for free, so the timeline of the second holder on the large fleet can't tell an answered release from an expired grant, an ended process or a restart of the same server.

Change: the granter returns the keys that it freed, with the reason, the previous holder and its account of the grants to it; `event=keys-freed` logs them, one line for each segment and transfer. No decision changes.

--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -10,6 +10,7 @@
 use tarragon_dispatch::fleet::Fleet;
 use tarragon_model::time::Instant;
 use tarragon_owner::balance::Candidate;
+use tarragon_owner::granter::freed::{Freed, Reason};
 use tarragon_owner::granter::{Action, Command, CommandOutcome, Granter, Liveness, Timing};
 use tarragon_owner::loads::Loads;
 use tarragon_owner::plan::{Holder, Plan};
@@ -296,6 +297,7 @@
         let liveness = |holder: &Holder| liveness(&fleet, holder);
         let commands = granter.commands(&liveness, now);
         drop(fleet);
+        log_freed(name, &granter.take_freed(), now);
         for command in commands {
             self.send(name, command, now);
         }
@@ -428,6 +430,7 @@
         // was given up.
         let sent = sent.map(|_| now);
         let first = granter.record_outcome(command, due, sent, outcome);
+        log_freed(name, &granter.take_freed(), now);
         let action = match command.action {
             Action::Grant => "grant",
             Action::Release => "release",
@@ -503,6 +506,40 @@
     }
 }
 
+fn log_freed(service: &str, freed: &[Freed], now: Instant) {
+    let age = |at: Option<Instant>| at.map_or("none".to_owned(), |at| ms_until(at, now));
+    for keys in freed {
+        let reason = match keys.reason {
+            Reason::Released => "released",
+            Reason::Expired => "expired",
+            Reason::Ended => "ended",
+            Reason::SameServer => "same-server",
+        };
+        let account = &keys.account;
+        log::info!(
+            "event=keys-freed service={service} keys={}-{} fence={} reason={reason} previous={} previous_fence={} due_ms_ago={} arrived_ms_ago={} unconfirmed={} inherited={}",
+            keys.from,
+            keys.to,
+            keys.fence,
+            keys.previous.holder.id,
+            keys.previous.fence,
+            age(account.latest_due),
+            age(account.latest_arrival),
+            account.unconfirmed,
+            account.inherited
+        );
+    }
+}
+
+/// Returns the time from `at` to `now` in milliseconds, negative if `at` is later.
+fn ms_until(at: Instant, now: Instant) -> String {
+    if at > now {
+        format!("-{}", at.since(now).as_millis())
+    } else {
+        now.since(at).as_millis().to_string()
+    }
+}
+
 fn deliver(completions: &UnboundedSender<Completion>, completion: Completion) {
     if completions.send(completion).is_err() {
         log::debug!("event=completion-dropped reason=\"process ends\"");
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -5,11 +5,13 @@
 
 use tarragon_model::time::Instant;
 
+use self::freed::Freed;
 use self::segment::{Phase, SegmentState};
 use crate::balance::{self, Candidate, Inputs};
 use crate::loads::Rates;
 use crate::plan::{Holder, Plan, Segment};
 
+pub mod freed;
 mod segment;
 
 /// Intervals and timeouts of a granter.
@@ -148,6 +150,8 @@
     states: Vec<SegmentState>,
     /// When every earlier granter was known to have stopped, if it is known.
     sole_since: Option<Instant>,
+    /// Keys that were freed and not taken by the caller yet.
+    freed: Vec<Freed>,
     seeded_fault: SeededFault,
     stepped_down: bool,
 }
@@ -180,6 +184,7 @@
             plan,
             states,
             sole_since: sole.then_some(now),
+            freed: Vec::new(),
             seeded_fault: SeededFault::None,
             stepped_down: false,
         }
@@ -349,7 +354,8 @@
         let sole_since = self.sole_since;
         let mut commands = Vec::new();
         for state in &mut self.states {
-            state.update_phase(liveness, sole_since, &timing, seeded_fault, now);
+            let freed = state.update_phase(liveness, sole_since, &timing, seeded_fault, now);
+            self.freed.extend(freed);
             if state.is_due(liveness, &timing, now) {
                 commands.push(state.next_command(&timing, now));
             }
@@ -383,17 +389,25 @@
             if state.segment.from > command.to {
                 break;
             }
-            accepted |= state.record_outcome(
+            let (first, freed) = state.record_outcome(
                 command,
                 (due_at, sent_at),
                 outcome,
                 &self.timing,
                 self.seeded_fault,
             );
+            accepted |= first;
+            self.freed.extend(freed);
         }
         accepted
     }
 
+    /// Returns the keys that were freed since the last call. The caller takes them after each call
+    /// of [`Granter::commands`] and [`Granter::record_outcome`].
+    pub fn take_freed(&mut self) -> Vec<Freed> {
+        std::mem::take(&mut self.freed)
+    }
+
     /// Returns whether a backend server has seen a higher fencing token than the plan's.
     #[must_use]
     pub fn has_stale_fence(&self) -> bool {
--- a/crates/owner/src/granter/segment.rs
+++ b/crates/owner/src/granter/segment.rs
@@ -4,6 +4,7 @@
 
 use tarragon_model::time::Instant;
 
+use super::freed::{Account, Freed, Reason};
 use super::{Action, Command, CommandOutcome, Liveness, SeededFault, Timing};
 use crate::plan::{Holder, PreviousHolder, Segment};
 use crate::sent_grants::SentGrants;
@@ -42,6 +43,15 @@
         self
     }
 
+    fn account(&self) -> Account {
+        Account {
+            latest_due: self.sent.latest_due(),
+            latest_arrival: self.sent.latest_arrival(),
+            unconfirmed: self.sent.unconfirmed(),
+            inherited: self.inherited,
+        }
+    }
+
     /// Returns when the keys are certainly no longer held, or `None` while that is unknown.
     fn expiry(&self, sole_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
         let sent = self.sent.latest_expiry(timing);
@@ -149,7 +159,7 @@
         }
     }
 
-    /// Ends the wait for the previous holder once it no longer holds the keys.
+    /// Ends the wait for the previous holder once it no longer holds the keys; returns the keys then.
     ///
     /// A restarted holder may have accepted a renewal that was meant for its earlier incarnation.
     /// So the wait is skipped only if the same server is granted the keys again, under a higher
@@ -161,18 +171,39 @@
         timing: &Timing,
         seeded_fault: SeededFault,
         now: Instant,
-    ) {
+    ) -> Option<Freed> {
         let Phase::Revoking(previous, hold_bound) = &self.phase else {
-            return;
+            return None;
         };
         let end = hold_bound.expiry(sole_since, timing);
         let expired = end.is_some_and(|end| now > end);
-        let same_server = previous.holder.id == self.segment.holder.id;
-        let ended = liveness(&previous.holder) == Liveness::Ended;
-        if expired || ended || same_server || seeded_fault == SeededFault::SkipWait {
-            self.phase = Phase::Grantable;
-            self.pending_since = None;
-        }
+        let reason = if previous.holder.id == self.segment.holder.id {
+            Reason::SameServer
+        } else if liveness(&previous.holder) == Liveness::Ended {
+            Reason::Ended
+        } else if expired || seeded_fault == SeededFault::SkipWait {
+            Reason::Expired
+        } else {
+            return None;
+        };
+        self.free(reason)
+    }
+
+    /// Makes the keys grantable; returns them if they had to be revoked until now.
+    fn free(&mut self, reason: Reason) -> Option<Freed> {
+        let phase = std::mem::replace(&mut self.phase, Phase::Grantable);
+        self.pending_since = None;
+        let Phase::Revoking(previous, hold_bound) = phase else {
+            return None;
+        };
+        Some(Freed {
+            reason,
+            from: self.segment.from,
+            to: self.segment.to,
+            fence: self.segment.fence,
+            previous,
+            account: hold_bound.account(),
+        })
     }
 
     /// Returns whether a command should be sent now.
@@ -219,6 +250,8 @@
         }
     }
 
+    /// Records the outcome of a command. Returns whether the holder accepted the keys for the first
+    /// time, and the keys if it gave them up.
     pub(super) fn record_outcome(
         &mut self,
         command: &Command,
@@ -226,60 +259,53 @@
         outcome: &CommandOutcome,
         timing: &Timing,
         seeded_fault: SeededFault,
-    ) -> bool {
+    ) -> (bool, Option<Freed>) {
         if command.action == Action::Grant {
             let transit = match seeded_fault {
                 SeededFault::IgnoreTransit => Duration::ZERO,
                 _ => timing.max_transit,
             };
             let arrived_at = sent_at.map(|at| at + transit);
-            self.record_sent(command, due_at, arrived_at, timing);
+            self.record_sent(command, due_at, arrived_at);
         }
         if command.fence != self.segment.fence {
-            return false;
+            return (false, None);
         }
         match (command.action, outcome) {
             (Action::Release, CommandOutcome::Done { handover }) => {
                 if let Phase::Revoking(previous, _) = &self.phase
                     && previous.holder == command.server
                 {
-                    self.phase = Phase::Grantable;
                     self.handover.clone_from(handover);
-                    self.pending_since = None;
+                    return (false, self.free(Reason::Released));
                 }
-                false
+                (false, None)
             }
             (Action::Grant, CommandOutcome::Done { .. }) => {
                 let first = !self.accepted;
                 self.accepted = true;
                 self.pending_since = None;
                 self.granted_at = Some(self.granted_at.map_or(due_at, |at| at.max(due_at)));
-                first
+                (first, None)
             }
             (Action::Grant, CommandOutcome::StaleFence) => {
                 self.stale_fence = true;
                 self.pending_since = None;
-                false
+                (false, None)
             }
             (_, CommandOutcome::NotSent | CommandOutcome::Refused | CommandOutcome::Unknown)
-            | (Action::Release, CommandOutcome::StaleFence) => false,
+            | (Action::Release, CommandOutcome::StaleFence) => (false, None),
         }
     }
 
     /// Records when a grant to the current or the previous holder was sent.
-    fn record_sent(
-        &mut self,
-        command: &Command,
-        due_at: Instant,
-        sent_at: Option<Instant>,
-        timing: &Timing,
-    ) {
+    fn record_sent(&mut self, command: &Command, due_at: Instant, sent_at: Option<Instant>) {
         if command.fence == self.segment.fence {
-            self.hold_bound.sent.record_sent(due_at, sent_at, timing);
+            self.hold_bound.sent.record_sent(due_at, sent_at);
         } else if let Phase::Revoking(previous, hold_bound) = &mut self.phase
             && previous.fence == command.fence
         {
-            hold_bound.sent.record_sent(due_at, sent_at, timing);
+            hold_bound.sent.record_sent(due_at, sent_at);
         }
     }
 }
--- a/crates/owner/src/sent_grants.rs
+++ b/crates/owner/src/sent_grants.rs
@@ -8,8 +8,10 @@
 /// last one expires.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SentGrants {
-    /// Latest expiry among the grants whose latest time of arrival is known.
-    latest_confirmed: Option<Instant>,
+    /// When the latest grant became due.
+    latest_due: Option<Instant>,
+    /// Latest arrival among the grants whose latest time of arrival is known.
+    latest_arrival: Option<Instant>,
     /// Due times of the grants whose outcome is not known yet.
     unconfirmed: Vec<Instant>,
 }
@@ -22,31 +24,28 @@
             && now.since(first) > timing.max_exchange()
         {
             self.unconfirmed.remove(0);
-            self.extend(first + timing.max_exchange(), timing);
+            self.extend(first + timing.max_exchange());
         }
+        self.latest_due = Some(now);
         self.unconfirmed.push(now);
     }
 
     /// Records a time by which the grant due at `due_at` had arrived, or never will; `None` if it was
     /// not sent.
-    pub(crate) fn record_sent(
-        &mut self,
-        due_at: Instant,
-        arrived_at: Option<Instant>,
-        timing: &Timing,
-    ) {
+    pub(crate) fn record_sent(&mut self, due_at: Instant, arrived_at: Option<Instant>) {
         let Some(index) = self.unconfirmed.iter().position(|due| *due == due_at) else {
             return;
         };
         self.unconfirmed.remove(index);
         if let Some(arrived_at) = arrived_at {
-            self.extend(arrived_at, timing);
+            self.extend(arrived_at);
         }
     }
 
     /// Adds the grants of other keys.
     pub(crate) fn join(&mut self, other: Self) {
-        self.latest_confirmed = self.latest_confirmed.max(other.latest_confirmed);
+        self.latest_due = self.latest_due.max(other.latest_due);
+        self.latest_arrival = self.latest_arrival.max(other.latest_arrival);
         self.unconfirmed.extend(other.unconfirmed);
         self.unconfirmed.sort_unstable();
     }
@@ -60,14 +59,27 @@
     /// Returns the time by which all of the grants have expired.
     pub(crate) fn latest_expiry(&self, timing: &Timing) -> Instant {
         let unconfirmed = self.unconfirmed.last();
-        let unconfirmed = unconfirmed.map(|due| *due + timing.max_exchange() + timing.max_hold());
-        self.latest_confirmed
-            .max(unconfirmed)
-            .unwrap_or(Instant::ZERO)
+        let unconfirmed = unconfirmed.map(|due| *due + timing.max_exchange());
+        let arrival = self.latest_arrival.max(unconfirmed);
+        arrival.map_or(Instant::ZERO, |at| at + timing.max_hold())
     }
 
-    fn extend(&mut self, arrived_at: Instant, timing: &Timing) {
-        let end = arrived_at + timing.max_hold();
-        self.latest_confirmed = self.latest_confirmed.max(Some(end));
+    /// Returns when the latest grant became due.
+    pub(crate) fn latest_due(&self) -> Option<Instant> {
+        self.latest_due
+    }
+
+    /// Returns the latest arrival among the grants whose outcome is known.
+    pub(crate) fn latest_arrival(&self) -> Option<Instant> {
+        self.latest_arrival
+    }
+
+    /// Returns the number of grants whose outcome is not known yet.
+    pub(crate) fn unconfirmed(&self) -> usize {
+        self.unconfirmed.len()
+    }
+
+    fn extend(&mut self, arrived_at: Instant) {
+        self.latest_arrival = self.latest_arrival.max(Some(arrived_at));
     }
 }
