Wait for the outcome of every grant before keys expire

Cause: the account of a holder's grants took a grant without an outcome for arrived 1.55 s after it was due and forgot it. On a host short of processor time it may leave later than that; its outcome, which says so, then found no entry and changed nothing. Outcomes were matched by due time and fencing token, so those of keys that had been given new tokens, joined or split could miss their entry too.

Change: each command has a number. A grant without an outcome stays in the account and keeps the keys from expiring; its end counts from the reported time. Every state is told of an outcome, whatever became of the plan, so no entry stays once its outcome was reported, and an account has at most as many entries as grants are under way. Numbers start at the time of a granter's creation, so the outcome of an earlier granter of the same process never takes the entry of a later one; it extends the wait for its keys instead. The simulation reports the outcome of every command, also of those that its hosts dropped before; a frozen host's commands wait for its return.

--- a/crates/edge/tests/commands.rs
+++ b/crates/edge/tests/commands.rs
@@ -51,6 +51,7 @@
 
 fn command(action: Action, from: u16) -> Command {
     Command {
+        number: 0,
         action,
         server: Holder {
             id: "a".to_owned(),
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -84,6 +84,8 @@
 /// Command to a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Command {
+    /// Identifies the command among all of a process.
+    pub number: u64,
     /// What the server is asked to do.
     pub action: Action,
     /// Backend server that receives the command.
@@ -152,6 +154,8 @@
     sole_since: Option<Instant>,
     /// Keys that were freed and not taken by the caller yet.
     freed: Vec<Freed>,
+    /// Number of the next command.
+    next_number: u64,
     seeded_fault: SeededFault,
     stepped_down: bool,
 }
@@ -185,6 +189,8 @@
             states,
             sole_since: sole.then_some(now),
             freed: Vec::new(),
+            // Numbers that an earlier granter of this process used are lower.
+            next_number: now.as_micros(),
             seeded_fault: SeededFault::None,
             stepped_down: false,
         }
@@ -357,7 +363,8 @@
             let freed = state.update_phase(liveness, sole_since, &timing, seeded_fault, now);
             self.freed.extend(freed);
             if state.is_due(liveness, &timing, now) {
-                commands.push(state.next_command(&timing, now));
+                commands.push(state.next_command(self.next_number, now));
+                self.next_number += 1;
             }
         }
         commands
@@ -366,6 +373,9 @@
     /// Records the outcome of a command. Returns whether the holder accepted the keys for the first
     /// time.
     ///
+    /// Every grant needs an outcome: keys are not taken from its receiver on account of the time
+    /// before. The outcomes of an earlier granter of the same process count as well.
+    ///
     /// `due_at` is the time at which [`Granter::commands`] returned the command. `sent_at` is a
     /// time by which it had certainly been sent or was given up, or `None` if it was not sent.
     pub fn record_outcome(
@@ -375,27 +385,21 @@
         sent_at: Option<Instant>,
         outcome: &CommandOutcome,
     ) -> bool {
-        let index = self
-            .states
-            .partition_point(|state| state.segment.to < command.from);
         let sent_at = match self.seeded_fault {
             SeededFault::ExpiryFromDue => sent_at.map(|_| due_at),
             _ => sent_at,
         };
-        // Some of the command's keys may have been reassigned since, so each segment decides on its
-        // own.
+        let transit = match self.seeded_fault {
+            SeededFault::IgnoreTransit => Duration::ZERO,
+            _ => self.timing.max_transit,
+        };
+        let arrived_at = sent_at.map(|at| at + transit);
         let mut accepted = false;
-        for state in &mut self.states[index..] {
-            if state.segment.from > command.to {
-                break;
+        for state in &mut self.states {
+            if command.action == Action::Grant {
+                state.record_arrival(command, arrived_at);
             }
-            let (first, freed) = state.record_outcome(
-                command,
-                (due_at, sent_at),
-                outcome,
-                &self.timing,
-                self.seeded_fault,
-            );
+            let (first, freed) = state.record_outcome(command, due_at, outcome);
             accepted |= first;
             self.freed.extend(freed);
         }
--- a/crates/owner/src/granter/segment.rs
+++ b/crates/owner/src/granter/segment.rs
@@ -1,7 +1,5 @@
 //! State of one segment of a plan: who may hold its keys, and until when.
 
-use std::time::Duration;
-
 use tarragon_model::time::Instant;
 
 use super::freed::{Account, Freed, Reason};
@@ -54,7 +52,7 @@
 
     /// Returns when the keys are certainly no longer held, or `None` while that is unknown.
     fn expiry(&self, sole_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
-        let sent = self.sent.latest_expiry(timing);
+        let sent = self.sent.latest_expiry(timing)?;
         if !self.inherited {
             return Some(sent);
         }
@@ -231,16 +229,17 @@
         }
     }
 
-    pub(super) fn next_command(&mut self, timing: &Timing, now: Instant) -> Command {
+    pub(super) fn next_command(&mut self, number: u64, now: Instant) -> Command {
         self.pending_since = Some(now);
         let (action, server) = match &self.phase {
             Phase::Revoking(previous, _) => (Action::Release, previous.holder.clone()),
             Phase::Grantable => {
-                self.hold_bound.sent.record_due(now, timing);
+                self.hold_bound.sent.record_due(number, now);
                 (Action::Grant, self.segment.holder.clone())
             }
         };
         Command {
+            number,
             action,
             server,
             from: self.segment.from,
@@ -250,25 +249,48 @@
         }
     }
 
+    /// Records a time by which a grant had arrived, or never will; `None` if it was not sent.
+    ///
+    /// Every state has to be told: the grant counts for keys that have been split or joined since.
+    pub(super) fn record_arrival(&mut self, grant: &Command, arrived_at: Option<Instant>) {
+        let mut found = self
+            .hold_bound
+            .sent
+            .record_outcome(grant.number, arrived_at);
+        if let Phase::Revoking(_, hold_bound) = &mut self.phase {
+            found |= hold_bound.sent.record_outcome(grant.number, arrived_at);
+        }
+        if found || !self.overlaps(grant) {
+            return;
+        }
+        // The grant of an earlier granter of this process.
+        let Some(arrived_at) = arrived_at else {
+            return;
+        };
+        if grant.server.id == self.segment.holder.id {
+            self.hold_bound.sent.record_arrival(arrived_at);
+        }
+        if let Phase::Revoking(_, hold_bound) = &mut self.phase {
+            hold_bound.sent.record_arrival(arrived_at);
+        }
+    }
+
+    fn overlaps(&self, command: &Command) -> bool {
+        self.segment.from <= command.to && command.from <= self.segment.to
+    }
+
     /// Records the outcome of a command. Returns whether the holder accepted the keys for the first
     /// time, and the keys if it gave them up.
+    ///
+    /// Some of the command's keys may have been reassigned since, so each segment decides on its
+    /// own.
     pub(super) fn record_outcome(
         &mut self,
         command: &Command,
-        (due_at, sent_at): (Instant, Option<Instant>),
+        due_at: Instant,
         outcome: &CommandOutcome,
-        timing: &Timing,
-        seeded_fault: SeededFault,
     ) -> (bool, Option<Freed>) {
-        if command.action == Action::Grant {
-            let transit = match seeded_fault {
-                SeededFault::IgnoreTransit => Duration::ZERO,
-                _ => timing.max_transit,
-            };
-            let arrived_at = sent_at.map(|at| at + transit);
-            self.record_sent(command, due_at, arrived_at);
-        }
-        if command.fence != self.segment.fence {
+        if command.fence != self.segment.fence || !self.overlaps(command) {
             return (false, None);
         }
         match (command.action, outcome) {
@@ -297,15 +319,4 @@
             | (Action::Release, CommandOutcome::StaleFence) => (false, None),
         }
     }
-
-    /// Records when a grant to the current or the previous holder was sent.
-    fn record_sent(&mut self, command: &Command, due_at: Instant, sent_at: Option<Instant>) {
-        if command.fence == self.segment.fence {
-            self.hold_bound.sent.record_sent(due_at, sent_at);
-        } else if let Phase::Revoking(previous, hold_bound) = &mut self.phase
-            && previous.fence == command.fence
-        {
-            hold_bound.sent.record_sent(due_at, sent_at);
-        }
-    }
 }
--- a/crates/owner/src/sent_grants.rs
+++ b/crates/owner/src/sent_grants.rs
@@ -1,5 +1,7 @@
 //! Tracks when the grants that one granter sent expire.
 
+use std::collections::BTreeMap;
+
 use tarragon_model::time::Instant;
 
 use crate::granter::Timing;
@@ -12,34 +14,30 @@
     latest_due: Option<Instant>,
     /// Latest arrival among the grants whose latest time of arrival is known.
     latest_arrival: Option<Instant>,
-    /// Due times of the grants whose outcome is not known yet.
-    unconfirmed: Vec<Instant>,
+    /// Due times of the grants whose outcome is not known yet, by the numbers of their commands.
+    unconfirmed: BTreeMap<u64, Instant>,
 }
 
 impl SentGrants {
-    /// Records that a grant is due now.
-    pub(crate) fn record_due(&mut self, now: Instant, timing: &Timing) {
-        // A grant whose outcome was never reported has arrived by now or never will.
-        while let Some(first) = self.unconfirmed.first().copied()
-            && now.since(first) > timing.max_exchange()
-        {
-            self.unconfirmed.remove(0);
-            self.extend(first + timing.max_exchange());
-        }
+    /// Records that the grant with the given number is due now. Its outcome has to be recorded.
+    pub(crate) fn record_due(&mut self, number: u64, now: Instant) {
         self.latest_due = Some(now);
-        self.unconfirmed.push(now);
+        self.unconfirmed.insert(number, now);
     }
 
-    /// Records a time by which the grant due at `due_at` had arrived, or never will; `None` if it was
-    /// not sent.
-    pub(crate) fn record_sent(&mut self, due_at: Instant, arrived_at: Option<Instant>) {
-        let Some(index) = self.unconfirmed.iter().position(|due| *due == due_at) else {
-            return;
-        };
-        self.unconfirmed.remove(index);
-        if let Some(arrived_at) = arrived_at {
-            self.extend(arrived_at);
+    /// Records a time by which a grant had arrived, or never will; `None` if it was not sent.
+    /// Returns whether the grant had no outcome before.
+    pub(crate) fn record_outcome(&mut self, number: u64, arrived_at: Option<Instant>) -> bool {
+        let found = self.unconfirmed.remove(&number).is_some();
+        if found && let Some(arrived_at) = arrived_at {
+            self.record_arrival(arrived_at);
         }
+        found
+    }
+
+    /// Records a time by which a grant had arrived.
+    pub(crate) fn record_arrival(&mut self, arrived_at: Instant) {
+        self.latest_arrival = self.latest_arrival.max(Some(arrived_at));
     }
 
     /// Adds the grants of other keys.
@@ -47,21 +45,22 @@
         self.latest_due = self.latest_due.max(other.latest_due);
         self.latest_arrival = self.latest_arrival.max(other.latest_arrival);
         self.unconfirmed.extend(other.unconfirmed);
-        self.unconfirmed.sort_unstable();
     }
 
     /// Returns whether a grant that is due may still be sent.
     pub(crate) fn may_be_sent(&self, now: Instant, timing: &Timing) -> bool {
-        let last = self.unconfirmed.last();
-        last.is_some_and(|due| now.since(*due) <= timing.max_send_delay)
+        let last = self.unconfirmed.last_key_value();
+        last.is_some_and(|(_, due)| now.since(*due) <= timing.max_send_delay)
     }
 
-    /// Returns the time by which all of the grants have expired.
-    pub(crate) fn latest_expiry(&self, timing: &Timing) -> Instant {
-        let unconfirmed = self.unconfirmed.last();
-        let unconfirmed = unconfirmed.map(|due| *due + timing.max_exchange());
-        let arrival = self.latest_arrival.max(unconfirmed);
-        arrival.map_or(Instant::ZERO, |at| at + timing.max_hold())
+    /// Returns the time by which all of the grants have expired, or `None` while one of them has no
+    /// outcome: a host that is short of processor time may still send it.
+    pub(crate) fn latest_expiry(&self, timing: &Timing) -> Option<Instant> {
+        if !self.unconfirmed.is_empty() {
+            return None;
+        }
+        let arrival = self.latest_arrival;
+        Some(arrival.map_or(Instant::ZERO, |at| at + timing.max_hold()))
     }
 
     /// Returns when the latest grant became due.
@@ -78,8 +77,4 @@
     pub(crate) fn unconfirmed(&self) -> usize {
         self.unconfirmed.len()
     }
-
-    fn extend(&mut self, arrived_at: Instant) {
-        self.latest_arrival = self.latest_arrival.max(Some(arrived_at));
-    }
 }
--- a/crates/owner/tests/common/mod.rs
+++ b/crates/owner/tests/common/mod.rs
@@ -396,10 +396,13 @@
             }
         }
         let commands = granter_state.granter.commands(&liveness, now);
-        if unreachable {
-            return;
-        }
         for command in commands {
+            if unreachable {
+                let process = (index, incarnation);
+                let outcome = CommandOutcome::NotSent;
+                self.push(STEP, Event::Outcome(process, command, now, None, outcome));
+                continue;
+            }
             let slow = self.rng.random_bool(0.2);
             let range = if slow { 300..800 } else { 1..120 };
             let delay = self.rng.random_range(range);
--- a/crates/owner/tests/common/network.rs
+++ b/crates/owner/tests/common/network.rs
@@ -17,7 +17,12 @@
         let now = self.now;
         let (host, incarnation) = process;
         let same_process = self.hosts[host].incarnation == incarnation;
-        if !same_process || now < self.hosts[host].frozen_until {
+        if !same_process {
+            return;
+        }
+        let frozen = self.hosts[host].frozen_until.since(now);
+        if !frozen.is_zero() {
+            self.push(frozen, Event::Send(process, due_at, command));
             return;
         }
         let timing = Timing::with_grant_duration(GRANT_DURATION);
