Keep the grants of a server that keys return to before it gave them up

Cause: keys that go from a to b and back to a before a answered the release start a new state. It kept the account of the grants only if a state before was assigned to the same server; here it was assigned to b and waited for a. So the account of a was empty, and a third server was granted the keys at once.

Change: the account is kept if the server may hold the keys, assigned or being revoked.

Evidence: on the code before, grants_count_after_keys_returned_to_a_server_before_it_gave_them_up failed with "freed at 1900 ms, held to 4010 ms", and the test with a late outcome with keys freed at 1910 ms that the outcome then held to 6000 ms. The tests of a release answered after the plan has changed, of several returns and of a refused grant passed before as well.

--- a/crates/owner/src/granter/segment.rs
+++ b/crates/owner/src/granter/segment.rs
@@ -115,8 +115,8 @@
             None => Phase::Grantable,
             Some(previous) => Phase::Revoking(previous.clone(), hold_bound.clone()),
         };
-        let same_server = |state: &Self| state.segment.holder.id == segment.holder.id;
-        let hold_bound = if previous.iter().any(same_server) {
+        let may_hold = |state: &Self| state.may_be_held_by(&segment.holder.id);
+        let hold_bound = if previous.iter().any(may_hold) {
             // A new fencing token alone does not end the grants under the old one.
             hold_bound
         } else {
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Returns whether a server may hold the keys, or may be granted them next.
+    fn may_be_held_by(&self, server_id: &str) -> bool {
+        self.segment.holder.id == server_id || self.holder_to_revoke().holder.id == server_id
+    }
+
     /// Returns the bound on how long any server may hold the keys.
     pub(super) fn current_hold_bound(&self) -> HoldBound {
         match &self.phase {
--- a/crates/owner/tests/granter_account.rs
+++ b/crates/owner/tests/granter_account.rs
@@ -132,13 +132,15 @@
     next_freed(granter, from_ms).0
 }
 
-/// Lets the grants that are due at the given times end without having been sent.
+/// Lets the grants that are due at the given times end without having been sent. Keys that are freed
+/// meanwhile are not reported.
 fn withhold_grants(granter: &mut Granter, due_ms: &[u64]) {
     for ms in due_ms {
         for command in granter.commands(&alive, at(*ms)) {
             granter.record_outcome(&command, at(*ms), None, &CommandOutcome::NotSent);
         }
     }
+    granter.take_freed();
 }
 
 macro_rules! late_outcome_counts {
@@ -277,3 +279,78 @@
     let freed_ms = freed_ms(&mut granter, 4_000);
     assert!(freed_ms > 7_000, "freed at {freed_ms} ms, held to 7000 ms");
 }
+
+/// A granter whose server `a` accepted all keys at 1 s under fence 1, and then was to lose them to
+/// `b` without an answer.
+fn unanswered_revocation() -> Granter {
+    let (mut granter, grant) = granter();
+    granter.record_outcome(&grant, at(1_000), Some(at(1_010)), &DONE);
+    granter.adopt(plan(2, "b", Some(("a", 1))), at(1_100));
+    granter.commands(&alive, at(1_110));
+    granter
+}
+
+#[test]
+fn grants_count_after_keys_returned_to_a_server_before_it_gave_them_up() {
+    let mut granter = unanswered_revocation();
+    granter.adopt(plan(3, "a", Some(("a", 1))), at(1_500));
+    withhold_grants(&mut granter, &[1_600]);
+    granter.adopt(plan(4, "c", Some(("a", 3))), at(1_900));
+    let freed_ms = freed_ms(&mut granter, 1_900);
+    assert!(freed_ms > 4_010, "freed at {freed_ms} ms, held to 4010 ms");
+}
+
+#[test]
+fn late_outcome_counts_after_keys_returned_to_a_server_before_it_gave_them_up() {
+    let (mut granter, grant) = granter();
+    granter.adopt(plan(2, "b", Some(("a", 1))), at(1_100));
+    granter.adopt(plan(3, "a", Some(("a", 1))), at(1_500));
+    withhold_grants(&mut granter, &[1_600]);
+    granter.adopt(plan(4, "c", Some(("a", 3))), at(1_900));
+    granter.commands(&alive, at(1_910));
+    assert_eq!(granter.take_freed(), []);
+    granter.record_outcome(&grant, at(1_000), Some(at(3_000)), &CommandOutcome::Unknown);
+    let freed_ms = freed_ms(&mut granter, 1_900);
+    assert!(freed_ms > 6_000, "freed at {freed_ms} ms, held to 6000 ms");
+}
+
+#[test]
+fn grants_count_after_keys_returned_under_several_fences() {
+    let mut granter = unanswered_revocation();
+    for sequence in [3, 5] {
+        granter.adopt(plan(sequence, "a", Some(("a", 1))), at(1_200));
+        granter.adopt(plan(sequence + 1, "b", Some(("a", 1))), at(1_300));
+    }
+    let freed_ms = freed_ms(&mut granter, 1_400);
+    assert!(freed_ms > 4_010, "freed at {freed_ms} ms, held to 4010 ms");
+}
+
+#[test]
+fn answer_to_a_release_of_an_earlier_plan_frees_nothing() {
+    let (mut granter, grant) = granter();
+    granter.record_outcome(&grant, at(1_000), Some(at(1_010)), &DONE);
+    granter.adopt(plan(2, "b", Some(("a", 1))), at(1_100));
+    let release = granter.commands(&alive, at(1_110)).remove(0);
+    assert_eq!(release.action, Action::Release);
+    granter.adopt(plan(3, "a", Some(("a", 1))), at(1_200));
+    let renewed = granter.commands(&alive, at(1_210)).remove(0);
+    granter.record_outcome(&renewed, at(1_210), Some(at(1_220)), &DONE);
+    granter.adopt(plan(4, "c", Some(("a", 3))), at(1_300));
+    granter.commands(&alive, at(1_310));
+    granter.take_freed();
+    granter.record_outcome(&release, at(1_110), Some(at(1_400)), &DONE);
+    assert_eq!(granter.take_freed(), []);
+    let freed_ms = freed_ms(&mut granter, 1_400);
+    assert!(freed_ms > 4_220, "freed at {freed_ms} ms, held to 4220 ms");
+}
+
+#[test]
+fn refused_grant_leaves_the_end_of_earlier_ones() {
+    let (mut granter, grant) = granter();
+    granter.record_outcome(&grant, at(1_000), Some(at(1_010)), &CommandOutcome::Unknown);
+    let second = granter.commands(&alive, at(1_600)).remove(0);
+    granter.record_outcome(&second, at(1_600), None, &CommandOutcome::Refused);
+    granter.adopt(plan(2, "b", Some(("a", 1))), at(1_700));
+    let freed_ms = freed_ms(&mut granter, 1_700);
+    assert!((4_011..5_750).contains(&freed_ms), "freed at {freed_ms} ms");
+}
