--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -5,11 +5,13 @@
 
 use tarragon_model::time::Instant;
 
+use self::freed::Freed;
 use self::segment::{Phase, SegmentState};
 use crate::balance::{self, Candidate, Inputs};
 use crate::loads::Rates;
 use crate::plan::{Holder, Plan, Segment};
 
+pub mod freed;
 mod segment;
 
 /// Intervals and timeouts of a granter.
@@ -82,6 +84,8 @@
 /// Command to a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Command {
+    /// Identifies the command among all of a process.
+    pub number: u64,
     /// What the server is asked to do.
     pub action: Action,
     /// Backend server that receives the command.
@@ -148,6 +152,10 @@
     states: Vec<SegmentState>,
     /// When every earlier granter was known to have stopped, if it is known.
     sole_since: Option<Instant>,
+    /// Keys that were freed and not taken by the caller yet.
+    freed: Vec<Freed>,
+    /// Number of the next command.
+    next_number: u64,
     seeded_fault: SeededFault,
     stepped_down: bool,
 }
@@ -180,6 +188,9 @@
             plan,
             states,
             sole_since: sole.then_some(now),
+            freed: Vec::new(),
+            // Numbers that an earlier granter of this process used are lower.
+            next_number: now.as_micros(),
             seeded_fault: SeededFault::None,
             stepped_down: false,
         }
@@ -349,9 +360,11 @@
         let sole_since = self.sole_since;
         let mut commands = Vec::new();
         for state in &mut self.states {
-            state.update_phase(liveness, sole_since, &timing, seeded_fault, now);
+            let freed = state.update_phase(liveness, sole_since, &timing, seeded_fault, now);
+            self.freed.extend(freed);
             if state.is_due(liveness, &timing, now) {
-                commands.push(state.next_command(&timing, now));
+                commands.push(state.next_command(self.next_number, now));
+                self.next_number += 1;
             }
         }
         commands
@@ -360,6 +373,9 @@
     /// Records the outcome of a command. Returns whether the holder accepted the keys for the first
     /// time.
     ///
+    /// Every grant needs an outcome: keys are not taken from its receiver on account of the time
+    /// before. The outcomes of an earlier granter of the same process count as well.
+    ///
     /// `due_at` is the time at which [`Granter::commands`] returned the command. `sent_at` is a
     /// time by which it had certainly been sent or was given up, or `None` if it was not sent.
     pub fn record_outcome(
@@ -369,31 +385,33 @@
         sent_at: Option<Instant>,
         outcome: &CommandOutcome,
     ) -> bool {
-        let index = self
-            .states
-            .partition_point(|state| state.segment.to < command.from);
         let sent_at = match self.seeded_fault {
             SeededFault::ExpiryFromDue => sent_at.map(|_| due_at),
             _ => sent_at,
         };
-        // Some of the command's keys may have been reassigned since, so each segment decides on its
-        // own.
+        let transit = match self.seeded_fault {
+            SeededFault::IgnoreTransit => Duration::ZERO,
+            _ => self.timing.max_transit,
+        };
+        let arrived_at = sent_at.map(|at| at + transit);
         let mut accepted = false;
-        for state in &mut self.states[index..] {
-            if state.segment.from > command.to {
-                break;
+        for state in &mut self.states {
+            if command.action == Action::Grant {
+                state.record_arrival(command, arrived_at);
             }
-            accepted |= state.record_outcome(
-                command,
-                (due_at, sent_at),
-                outcome,
-                &self.timing,
-                self.seeded_fault,
-            );
+            let (first, freed) = state.record_outcome(command, due_at, outcome);
+            accepted |= first;
+            self.freed.extend(freed);
         }
         accepted
     }
 
+    /// Returns the keys that were freed since the last call. The caller takes them after each call
+    /// of [`Granter::commands`] and [`Granter::record_outcome`].
+    pub fn take_freed(&mut self) -> Vec<Freed> {
+        std::mem::take(&mut self.freed)
+    }
+
     /// Returns whether a backend server has seen a higher fencing token than the plan's.
     #[must_use]
     pub fn has_stale_fence(&self) -> bool {
--- a/crates/owner/src/granter/segment.rs
+++ b/crates/owner/src/granter/segment.rs
@@ -1,9 +1,8 @@
 //! State of one segment of a plan: who may hold its keys, and until when.
 
-use std::time::Duration;
-
 use tarragon_model::time::Instant;
 
+use super::freed::{Account, Freed, Reason};
 use super::{Action, Command, CommandOutcome, Liveness, SeededFault, Timing};
 use crate::plan::{Holder, PreviousHolder, Segment};
 use crate::sent_grants::SentGrants;
@@ -42,9 +41,18 @@
         self
     }
 
+    fn account(&self) -> Account {
+        Account {
+            latest_due: self.sent.latest_due(),
+            latest_arrival: self.sent.latest_arrival(),
+            unconfirmed: self.sent.unconfirmed(),
+            inherited: self.inherited,
+        }
+    }
+
     /// Returns when the keys are certainly no longer held, or `None` while that is unknown.
     fn expiry(&self, sole_since: Option<Instant>, timing: &Timing) -> Option<Instant> {
-        let sent = self.sent.latest_expiry(timing);
+        let sent = self.sent.latest_expiry(timing)?;
         if !self.inherited {
             return Some(sent);
         }
@@ -107,8 +115,8 @@
             None => Phase::Grantable,
             Some(previous) => Phase::Revoking(previous.clone(), hold_bound.clone()),
         };
-        let same_server = |state: &Self| state.segment.holder.id == segment.holder.id;
-        let hold_bound = if previous.iter().any(same_server) {
+        let may_hold = |state: &Self| state.may_be_held_by(&segment.holder.id);
+        let hold_bound = if previous.iter().any(may_hold) {
             // A new fencing token alone does not end the grants under the old one.
             hold_bound
         } else {
@@ -130,6 +138,11 @@
         }
     }
 
+    /// Returns whether a server may hold the keys, or may be granted them next.
+    fn may_be_held_by(&self, server_id: &str) -> bool {
+        self.segment.holder.id == server_id || self.holder_to_revoke().holder.id == server_id
+    }
+
     /// Returns the bound on how long any server may hold the keys.
     pub(super) fn current_hold_bound(&self) -> HoldBound {
         match &self.phase {
@@ -149,7 +162,7 @@
         }
     }
 
-    /// Ends the wait for the previous holder once it no longer holds the keys.
+    /// Ends the wait for the previous holder once it no longer holds the keys; returns the keys then.
     ///
     /// A restarted holder may have accepted a renewal that was meant for its earlier incarnation.
     /// So the wait is skipped only if the same server is granted the keys again, under a higher
@@ -161,18 +174,39 @@
         timing: &Timing,
         seeded_fault: SeededFault,
         now: Instant,
-    ) {
+    ) -> Option<Freed> {
         let Phase::Revoking(previous, hold_bound) = &self.phase else {
-            return;
+            return None;
         };
         let end = hold_bound.expiry(sole_since, timing);
         let expired = end.is_some_and(|end| now > end);
-        let same_server = previous.holder.id == self.segment.holder.id;
-        let ended = liveness(&previous.holder) == Liveness::Ended;
-        if expired || ended || same_server || seeded_fault == SeededFault::SkipWait {
-            self.phase = Phase::Grantable;
-            self.pending_since = None;
-        }
+        let reason = if previous.holder.id == self.segment.holder.id {
+            Reason::SameServer
+        } else if liveness(&previous.holder) == Liveness::Ended {
+            Reason::Ended
+        } else if expired || seeded_fault == SeededFault::SkipWait {
+            Reason::Expired
+        } else {
+            return None;
+        };
+        self.free(reason)
+    }
+
+    /// Makes the keys grantable; returns them if they had to be revoked until now.
+    fn free(&mut self, reason: Reason) -> Option<Freed> {
+        let phase = std::mem::replace(&mut self.phase, Phase::Grantable);
+        self.pending_since = None;
+        let Phase::Revoking(previous, hold_bound) = phase else {
+            return None;
+        };
+        Some(Freed {
+            reason,
+            from: self.segment.from,
+            to: self.segment.to,
+            fence: self.segment.fence,
+            previous,
+            account: hold_bound.account(),
+        })
     }
 
     /// Returns whether a command should be sent now.
@@ -200,16 +234,17 @@
         }
     }
 
-    pub(super) fn next_command(&mut self, timing: &Timing, now: Instant) -> Command {
+    pub(super) fn next_command(&mut self, number: u64, now: Instant) -> Command {
         self.pending_since = Some(now);
         let (action, server) = match &self.phase {
             Phase::Revoking(previous, _) => (Action::Release, previous.holder.clone()),
             Phase::Grantable => {
-                self.hold_bound.sent.record_due(now, timing);
+                self.hold_bound.sent.record_due(number, now);
                 (Action::Grant, self.segment.holder.clone())
             }
         };
         Command {
+            number,
             action,
             server,
             from: self.segment.from,
@@ -219,67 +254,74 @@
         }
     }
 
+    /// Records a time by which a grant had arrived, or never will; `None` if it was not sent.
+    ///
+    /// Every state has to be told: the grant counts for keys that have been split or joined since.
+    pub(super) fn record_arrival(&mut self, grant: &Command, arrived_at: Option<Instant>) {
+        let mut found = self
+            .hold_bound
+            .sent
+            .record_outcome(grant.number, arrived_at);
+        if let Phase::Revoking(_, hold_bound) = &mut self.phase {
+            found |= hold_bound.sent.record_outcome(grant.number, arrived_at);
+        }
+        if found || !self.overlaps(grant) {
+            return;
+        }
+        // The grant of an earlier granter of this process.
+        let Some(arrived_at) = arrived_at else {
+            return;
+        };
+        if grant.server.id == self.segment.holder.id {
+            self.hold_bound.sent.record_arrival(arrived_at);
+        }
+        if let Phase::Revoking(_, hold_bound) = &mut self.phase {
+            hold_bound.sent.record_arrival(arrived_at);
+        }
+    }
+
+    fn overlaps(&self, command: &Command) -> bool {
+        self.segment.from <= command.to && command.from <= self.segment.to
+    }
+
+    /// Records the outcome of a command. Returns whether the holder accepted the keys for the first
+    /// time, and the keys if it gave them up.
+    ///
+    /// Some of the command's keys may have been reassigned since, so each segment decides on its
+    /// own.
     pub(super) fn record_outcome(
         &mut self,
         command: &Command,
-        (due_at, sent_at): (Instant, Option<Instant>),
+        due_at: Instant,
         outcome: &CommandOutcome,
-        timing: &Timing,
-        seeded_fault: SeededFault,
-    ) -> bool {
-        if command.action == Action::Grant {
-            let transit = match seeded_fault {
-                SeededFault::IgnoreTransit => Duration::ZERO,
-                _ => timing.max_transit,
-            };
-            let arrived_at = sent_at.map(|at| at + transit);
-            self.record_sent(command, due_at, arrived_at, timing);
-        }
-        if command.fence != self.segment.fence {
-            return false;
+    ) -> (bool, Option<Freed>) {
+        if command.fence != self.segment.fence || !self.overlaps(command) {
+            return (false, None);
         }
         match (command.action, outcome) {
             (Action::Release, CommandOutcome::Done { handover }) => {
                 if let Phase::Revoking(previous, _) = &self.phase
                     && previous.holder == command.server
                 {
-                    self.phase = Phase::Grantable;
                     self.handover.clone_from(handover);
-                    self.pending_since = None;
+                    return (false, self.free(Reason::Released));
                 }
-                false
+                (false, None)
             }
             (Action::Grant, CommandOutcome::Done { .. }) => {
                 let first = !self.accepted;
                 self.accepted = true;
                 self.pending_since = None;
                 self.granted_at = Some(self.granted_at.map_or(due_at, |at| at.max(due_at)));
-                first
+                (first, None)
             }
             (Action::Grant, CommandOutcome::StaleFence) => {
                 self.stale_fence = true;
                 self.pending_since = None;
-                false
+                (false, None)
             }
             (_, CommandOutcome::NotSent | CommandOutcome::Refused | CommandOutcome::Unknown)
-            | (Action::Release, CommandOutcome::StaleFence) => false,
-        }
-    }
-
-    /// Records when a grant to the current or the previous holder was sent.
-    fn record_sent(
-        &mut self,
-        command: &Command,
-        due_at: Instant,
-        sent_at: Option<Instant>,
-        timing: &Timing,
-    ) {
-        if command.fence == self.segment.fence {
-            self.hold_bound.sent.record_sent(due_at, sent_at, timing);
-        } else if let Phase::Revoking(previous, hold_bound) = &mut self.phase
-            && previous.fence == command.fence
-        {
-            hold_bound.sent.record_sent(due_at, sent_at, timing);
+            | (Action::Release, CommandOutcome::StaleFence) => (false, None),
         }
     }
 }
