Keep the voters of the latest answered renewal

Cause: after a freeze a granter renews its record anew while an earlier renewal is under way. If the response to the earlier one is handled last, confirm() makes its voters the written ones again. The store has others by then: half of those can rule the granter out while a majority of the old ones confirms it.

Change: a response whose number is below the latest answered one changes nothing; whatever it says, a later answer says more.

Evidence: a_late_response_to_an_earlier_write_changes_nothing failed before (majority of the first voters counted); the schedules of crates/owner pass.

--- a/crates/owner/src/votes.rs
+++ b/crates/owner/src/votes.rs
@@ -40,6 +40,8 @@
     /// Sets whose writes have not been answered, by number.
     proposed: Vec<(u64, Vec<String>)>,
     next: u64,
+    /// Number of the latest write that was answered.
+    answered: u64,
 }
 
 impl Voters {
@@ -50,6 +52,7 @@
             written,
             proposed: Vec::new(),
             next: 0,
+            answered: 0,
         }
     }
 
@@ -64,8 +67,12 @@
     /// Notes that the response to write `number` shows that the store has `voters`.
     ///
     /// Neither this write nor an earlier one can take effect any more: each of them expects a
-    /// version that is gone.
+    /// version that is gone. Responses that were overtaken by one to a later write change nothing.
     pub fn confirm(&mut self, number: u64, voters: Vec<String>) {
+        if number < self.answered {
+            return;
+        }
+        self.answered = number;
         self.written = voters;
         self.proposed.retain(|(later, _)| *later > number);
     }
--- a/crates/owner/tests/votes.rs
+++ b/crates/owner/tests/votes.rs
@@ -28,6 +28,18 @@
     assert!(voters.has_majority(&ids(&[1])));
 }
 
+/// Guards against voters that the store no longer has, by a response that a freeze held up.
+#[test]
+fn a_late_response_to_an_earlier_write_changes_nothing() {
+    let mut voters = Voters::new(ids(&[1]));
+    let first = voters.propose(&ids(&[1, 2, 3]));
+    let second = voters.propose(&ids(&[1, 4, 5]));
+    voters.confirm(second, ids(&[1, 4, 5]));
+    voters.confirm(first, ids(&[1, 2, 3]));
+    assert!(!voters.has_majority(&ids(&[1, 2])));
+    assert!(voters.has_majority(&ids(&[1, 4])));
+}
+
 #[test]
 fn a_granter_without_voters_is_blocked_only_by_a_follower() {
     assert!(!is_blocked(&[], &ids(&[1])), "no voters are known");
