Check whether a grant may be sent at each write of its bytes

Cause: the term and the delay since the grant was due were checked when the request was handed to its connection; the connection's task wrote it later. On a host short of processor time nothing bounds that gap, so a grant could reach the wire later than 0.6 s after it was due, or after its granter had stepped down, and both this granter's account and its successor's were wrong.

Change: a permit decides at each write to the socket. Without it no byte is written, the write fails and the connection ends. A command of which no byte was written is not sent, one of which some were is unknown. Releases and callers' requests carry no permit. The time of the write is what metrics and event=command-slow show as sent; the account still counts from the outcome.

Conclusion: the time between check and write is one system call. A process that is stopped exactly there still sends late when it goes on.

--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -26,6 +26,7 @@
 
 pub mod command;
 mod delay;
+mod departure;
 mod plans;
 
 /// Kind of the store objects that hold a service's plan.
--- a/crates/edge/src/granting/command.rs
+++ b/crates/edge/src/granting/command.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use tarragon_owner::granter::{Action, Command, CommandOutcome};
 
 use super::GRANT_DURATION;
+use super::departure::Departure;
 use crate::pool::{Pool, Requirements};
 use crate::state::State;
 
@@ -35,7 +37,7 @@
     /// Time without a response after which a grant is given up.
     pub response_timeout: Duration,
     /// Until when no other host can be granter; grants are sent only before.
-    pub send_until: &'a Cell<Instant>,
+    pub send_until: &'a Rc<Cell<Instant>>,
 }
 
 /// Creates the pool of connections that carry commands.
@@ -46,7 +48,7 @@
     Pool::new(response_timeout)
 }
 
-/// Sends a command; returns how it ended, and when it was sent if it may have been executed.
+/// Sends a command; returns how it ended, and when it was written if it may have been executed.
 ///
 /// A grant without a response is given up: closing its connection discards what has not left the
 /// host, so it arrives soon or never. The idle connections to the same server are closed as well.
@@ -111,6 +113,11 @@
     (same || command.action == Action::Release).then_some(server.entry.addr)
 }
 
+/// Sends a command and waits for its response; sets `sent` to when it was written.
+///
+/// # Errors
+///
+/// Returns why there is no response to a command of which bytes were written.
 async fn exchange(
     state: &State,
     pool: &Pool,
@@ -134,48 +141,58 @@
             }
             Err(_) => return Ok(CommandOutcome::NotSent),
         };
-        if is_withheld(state, &pending) {
+        let departure = Rc::new(Departure::new(state.clock, &pending));
+        if departure.is_withheld() {
+            log_withheld(state, &pending, &departure);
             connection.recycle(None);
             return Ok(CommandOutcome::NotSent);
         }
-        sent.set(Some(state.now()));
+        connection.restrict(departure.clone());
         let exchanged = async {
             let response = connection.send(request(state, command)).await?;
             receive(state, command, response)
                 .await
                 .map_err(|text| (None, text))
         };
-        match tokio::time::timeout(response_timeout, exchanged).await {
+        let result = tokio::time::timeout(response_timeout, exchanged).await;
+        let written_at = departure.close();
+        let (text, broke) = match result {
             Ok(Ok(outcome)) => {
+                sent.set(written_at.or_else(|| Some(state.now())));
                 if command.action == Action::Grant {
                     connection.recycle(None);
                 }
                 return Ok(outcome);
             }
-            Ok(Err((Some(_), _))) if connection.reused => {}
-            Ok(Err((Some(_), _))) => return Ok(CommandOutcome::NotSent),
-            Ok(Err((None, text))) => return Err(text),
-            Err(_) => return Err("no response".to_owned()),
+            Ok(Err((_, text))) => (text, true),
+            Err(_) => ("no response".to_owned(), false),
+        };
+        if written_at.is_some() {
+            sent.set(written_at);
+            return Err(text);
+        }
+        if departure.is_withheld() {
+            log_withheld(state, &pending, &departure);
+            return Ok(CommandOutcome::NotSent);
+        }
+        // The server may have closed an idle connection, so another one is tried.
+        if !(broke && connection.reused) {
+            log::debug!("event=command-not-sent error=\"{text}\"");
+            return Ok(CommandOutcome::NotSent);
         }
     }
 }
 
-/// Returns whether a grant must not be sent, as it is late or another host may be granter.
-fn is_withheld(state: &State, pending: &Pending<'_>) -> bool {
+/// Logs that a grant is not sent, as it is late or another host may be granter.
+fn log_withheld(state: &State, pending: &Pending<'_>, departure: &Departure) {
     let now = state.now();
-    let late = now.since(pending.due_at);
-    let confirmed = now <= pending.send_until.get();
-    let withheld = !confirmed || late > pending.max_delay;
-    if pending.command.action == Action::Release || !withheld {
-        return false;
-    }
     log::info!(
-        "event=grant-withheld server={} fence={} late_ms={} confirmed={confirmed}",
+        "event=grant-withheld server={} fence={} late_ms={} confirmed={}",
         pending.command.server.id,
         pending.command.fence,
-        late.as_millis()
+        now.since(pending.due_at).as_millis(),
+        departure.is_confirmed(now)
     );
-    true
 }
 
 async fn receive(
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -18,6 +18,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+mod stream;
+
+pub use self::stream::Permit;
+use self::stream::{Control, Stream};
+
 /// Body of a request to a backend server.
 pub type Body = Full<Bytes>;
 
@@ -92,6 +97,7 @@
 struct Idle {
     serial: Serial,
     sender: SendRequest<Body>,
+    control: Control,
     since: Instant,
     expires: Instant,
 }
@@ -110,6 +116,7 @@
 pub struct Connection {
     serial: Serial,
     sender: Option<SendRequest<Body>>,
+    control: Control,
     server: Rc<Server>,
     /// Whether the connection has carried earlier requests.
     pub reused: bool,
@@ -158,9 +165,11 @@
         let server = self.server(id);
         loop {
             if let Some(idle) = server.take_idle(&need) {
+                idle.control.restrict(None);
                 return Ok(Connection {
                     serial: idle.serial,
                     sender: Some(idle.sender),
+                    control: idle.control,
                     server,
                     reused: true,
                 });
@@ -260,6 +269,7 @@
     set_caller_options(&stream);
     set_unacknowledged_timeout(&stream, unacknowledged_timeout);
     discard_unsent_on_close(&stream);
+    let (stream, control) = Stream::new(stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -274,6 +284,7 @@
     Ok(Connection {
         serial,
         sender: Some(sender),
+        control,
         server,
         reused: false,
     })
@@ -345,6 +356,11 @@
         self.serial
     }
 
+    /// Lets `permit` decide about each write until the connection is acquired again.
+    pub fn restrict(&self, permit: Rc<dyn Permit>) {
+        self.control.restrict(Some(permit));
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -389,6 +405,7 @@
         self.server.idle.borrow_mut().push(Idle {
             serial: self.serial,
             sender,
+            control: self.control,
             since: now,
             expires,
         });
--- a/crates/edge/tests/commands.rs
+++ b/crates/edge/tests/commands.rs
@@ -75,7 +75,7 @@
         let (state, pool) = (state.clone(), pool.clone());
         let command = command(action, u16::try_from(index).unwrap());
         local.spawn_local(async move {
-            let send_until = Cell::new(state.now() + Duration::from_secs(9));
+            let send_until = Rc::new(Cell::new(state.now() + Duration::from_secs(9)));
             let pending = Pending {
                 command: &command,
                 due_at: state.now(),
@@ -125,7 +125,7 @@
     state.update_server(entry_at("a", address), 1);
     let pool = Pool::default();
     let command = command(Action::Grant, 7);
-    let send_until = Cell::new(state.now());
+    let send_until = Rc::new(Cell::new(state.now()));
     tokio::time::sleep(Duration::from_millis(5)).await;
     let pending = Pending {
         command: &command,
@@ -174,7 +174,7 @@
     let response_timeout = Duration::from_millis(200);
     let pool = command::pool(response_timeout);
     let command = command(Action::Grant, 7);
-    let send_until = Cell::new(state.now() + Duration::from_secs(9));
+    let send_until = Rc::new(Cell::new(state.now() + Duration::from_secs(9)));
     let began = state.now();
     let work = async {
         for expected in 1..=2 {
@@ -220,7 +220,7 @@
             state.update_server(entry_at("a", answering_backend($status).await), 1);
             let pool = command::pool(RESPONSE_TIME);
             let command = command(Action::Grant, 7);
-            let send_until = Cell::new(state.now() + RESPONSE_TIME);
+            let send_until = Rc::new(Cell::new(state.now() + RESPONSE_TIME));
             let pending = Pending {
                 command: &command,
                 due_at: state.now(),
@@ -291,7 +291,7 @@
     };
     state.update_server(later, 2);
     let pool = command::pool(RESPONSE_TIME * 2);
-    let send_until = Cell::new(state.now() + RESPONSE_TIME * 4);
+    let send_until = Rc::new(Cell::new(state.now() + RESPONSE_TIME * 4));
     let mut done = [false; 2];
     for (action, done) in [Action::Grant, Action::Release].into_iter().zip(&mut done) {
         let pending = Pending {
