Recognize the end of a granter's process after its clock was set back

Cause: takes only a process with a higher incarnation number as proof that an earlier one has ended. The numbers are start times, so a process that starts after its clock was set back has a lower one. Its predecessor then counts as running until half of its voters follow the new granter, which never comes if those voters have ended too: keys of a lost holder stay held. Change: a process that this host reached by a connection attempt that began after it had seen the other process in the record is later, whatever its number. The event of a link that is older than that, or that the other host opened, still needs a higher number. Evidence: a_predecessor_restarted_after_the_clock_was_set_back_is_dropped failed on (left: false, right: true). It replaces a_predecessor_with_an_earlier_process_remains, whose setting was that one and whose expectation was wrong: the process that answers there is reached after the record was read. The case meant by it, the late event of an earlier process, is a_predecessor_remains_on_a_late_event_of_an_earlier_process.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -186,8 +186,15 @@
     host: String,
     /// Incarnation of its process.
     incarnation: u64,
-    /// Address that this host connected to, unless the other host opened the link.
-    dialled: Option<SocketAddr>,
+    /// Connection attempt that led to the link, unless the other host opened it.
+    dialled: Option<Dial>,
+}
+
+/// Attempt of this host to open a link.
+#[derive(Clone, Copy)]
+struct Dial {
+    address: SocketAddr,
+    started: Instant,
 }
 
 /// Takes part in the election for one host.
@@ -200,6 +207,8 @@
     record: Option<(Version, Record)>,
     /// When the present version of the record was first seen.
     record_seen: Instant,
+    /// When the process that the record names was first seen in it.
+    process_seen: Instant,
     last_read: Instant,
     last_plan_read: Instant,
     /// Whether a read or a claim of the record is on its way.
@@ -242,6 +251,7 @@
         role: Role::Searching,
         record: None,
         record_seen: now,
+        process_seen: now,
         last_read: Instant::ZERO,
         last_plan_read: now,
         call_pending: false,
@@ -357,7 +367,7 @@
         let linked = self
             .peers
             .values()
-            .any(|peer| peer.dialled == Some(address));
+            .any(|peer| peer.dialled.is_some_and(|dial| dial.address == address));
         let recent = self
             .last_dials
             .get(&address)
@@ -372,7 +382,10 @@
             Peer {
                 host: String::new(),
                 incarnation: 0,
-                dialled: Some(address),
+                dialled: Some(Dial {
+                    address,
+                    started: now,
+                }),
             },
         );
     }
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -27,8 +27,11 @@
         log::info!("event=link-up link={link} host={host} incarnation={incarnation}");
         let dialled = self.peers.remove(&link).and_then(|peer| peer.dialled);
         let name = host.clone();
-        // A link of an earlier process may come up late.
-        let replaced = |record: &Record| record.host == name && record.incarnation < incarnation;
+        // The event of an earlier process's link may be handled late. A process that this host reached
+        // after it had seen the other one in the record is later, even if the clock was set back.
+        let reached = dialled.is_some_and(|dial| dial.started >= self.process_seen);
+        let is_earlier = |known: u64| known < incarnation || reached && known != incarnation;
+        let replaced = |record: &Record| record.host == name && is_earlier(record.incarnation);
         if self
             .record
             .as_ref()
@@ -48,7 +51,7 @@
         let hosts = self.hosts.len();
         if let Role::Granting(elected) = &mut self.role {
             let has_stopped =
-                |process: &Process| process.host == name && process.incarnation < incarnation;
+                |process: &Process| process.host == name && is_earlier(process.incarnation);
             elected.drop_predecessors("restarted", has_stopped);
             self.links.send(
                 link,
@@ -58,7 +61,8 @@
                 self.links.send(link, &Frame::Keys { service, map });
             }
             let mut predecessors = elected.predecessors.iter();
-            if predecessors.any(|predecessor| dialled == Some(predecessor.process.address)) {
+            let address = dialled.map(|dial| dial.address);
+            if predecessors.any(|predecessor| address == Some(predecessor.process.address)) {
                 let announcement = Frame::Elected {
                     record_version: elected.record_version.0,
                     address: self.state.settings.control,
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -100,6 +100,7 @@
                     let process = |record: &Record| (record.host.clone(), record.incarnation);
                     let before = self.record.as_ref().map(|(_, record)| process(record));
                     if before != Some(process(&record)) {
+                        self.process_seen = now;
                         self.granter_gone = false;
                         self.last_dials.remove(&record.address);
                     }
