Drop results of tasks that an earlier term started

Cause: the tasks of all terms of a host send their results to one channel, and whichever Grants is in force takes them. A host that is demoted and elected again while a store call about a plan is under way (five reads resolve a write whose response is lost, some seconds) takes the plan of its earlier term for the one in the store, though another granter may have replaced it in between: it grants keys to the former holder under the former fence. After a write it even counts as the only granter (Granter::new(plan, true)), since a write that ends without a plan at hand is taken for the service's first one.

Change: results carry the term; those of another term are dropped. What they would tell is conservative to lose: keys wait for answers or expiry.

Evidence: a_plan_that_an_earlier_term_{read,wrote}_is_read_again failed before ('the plan may have been replaced since'); they pass now, as do plans, leaving and election; clippy passes.

Conclusion: a way to a second holder; that it occurred in the incident is not shown. event=plan-loaded with a term tells in logs whether a read came first.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -24,7 +24,7 @@
 
 use self::elected::Elected;
 use crate::cluster::Cache;
-use crate::granting::{Completion, Update};
+use crate::granting::{Delivery, Update};
 use crate::peer::{Event, Frame, Links};
 use crate::state::State;
 
@@ -219,7 +219,7 @@
     /// Whether the process is about to end; it makes no claim then.
     leaving: bool,
     store_responses: UnboundedSender<StoreResponse>,
-    completions: UnboundedSender<Completion>,
+    completions: UnboundedSender<Delivery>,
 }
 
 /// Takes part in the election until the process ends.
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -15,7 +15,7 @@
     Participant, Process, RECORD_KEY, RENEWAL_TIMEOUT, Record, Role, StoreResponse,
     WEAK_CORES_RATIO, WEAK_HOST_DELAY, deliver, host_count, process_id,
 };
-use crate::granting::{self, Completion, Grants};
+use crate::granting::{self, Delivery, Grants};
 use crate::keys::Map;
 use crate::peer::Frame;
 use crate::state::State;
@@ -296,7 +296,7 @@
         }
     }
 
-    pub(super) fn on_completion(&mut self, completion: Completion) {
+    pub(super) fn on_completion(&mut self, completion: Delivery) {
         if let Role::Granting(elected) = &mut self.role {
             elected.grants.on_completion(completion);
         }
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -70,6 +70,12 @@
     }
 }
 
+/// Result of a task, with the term in which it was started.
+pub struct Delivery {
+    term: u64,
+    completion: Completion,
+}
+
 /// Result of a task that the granter started.
 pub enum Completion {
     /// A command ended.
@@ -141,7 +147,7 @@
 pub struct Grants {
     state: Rc<State>,
     api: Rc<dyn Api>,
-    completions: UnboundedSender<Completion>,
+    completions: UnboundedSender<Delivery>,
     pool: Rc<Pool>,
     term: u64,
     sole_granter: bool,
@@ -160,7 +166,7 @@
     pub fn new(
         state: Rc<State>,
         api: Rc<dyn Api>,
-        completions: UnboundedSender<Completion>,
+        completions: UnboundedSender<Delivery>,
         term: u64,
         sole_granter: bool,
     ) -> Self {
@@ -349,6 +355,7 @@
             self.completions.clone(),
         );
         let (send_until, timing) = (self.send_until.clone(), self.timing());
+        let term = self.term;
         let service = name.to_owned();
         tokio::task::spawn_local(async move {
             let pending = command::Pending {
@@ -359,23 +366,26 @@
                 send_until: &send_until,
             };
             let (outcome, sent) = command::send(&state, &pool, pending).await;
-            deliver(
-                &completions,
-                Completion::Command {
-                    service,
-                    command,
-                    due,
-                    sent,
-                    outcome,
-                },
-            );
+            let completion = Completion::Command {
+                service,
+                command,
+                due,
+                sent,
+                outcome,
+            };
+            deliver(&completions, term, completion);
         });
     }
 
-    /// Applies the result of a task.
-    pub fn on_completion(&mut self, completion: Completion) {
+    /// Applies the result of a task, unless it was started in another term: other granters may have
+    /// acted since.
+    pub fn on_completion(&mut self, delivery: Delivery) {
         let now = self.state.now();
-        match completion {
+        if delivery.term != self.term {
+            log::debug!("event=completion-outdated term={}", delivery.term);
+            return;
+        }
+        match delivery.completion {
             Completion::Command {
                 service,
                 command,
@@ -503,8 +513,8 @@
     }
 }
 
-fn deliver(completions: &UnboundedSender<Completion>, completion: Completion) {
-    if completions.send(completion).is_err() {
+fn deliver(completions: &UnboundedSender<Delivery>, term: u64, completion: Completion) {
+    if completions.send(Delivery { term, completion }).is_err() {
         log::debug!("event=completion-dropped reason=\"process ends\"");
     }
 }
--- a/crates/edge/src/granting/plans.rs
+++ b/crates/edge/src/granting/plans.rs
@@ -61,7 +61,7 @@
             self.api.clone(),
             self.completions.clone(),
         );
-        let service = name.to_owned();
+        let (service, term) = (name.to_owned(), self.term);
         tokio::task::spawn_local(async move {
             let read = api.get(Key::new(PLAN_KIND, &service), &state.stop).await;
             let result = match read {
@@ -71,7 +71,7 @@
                 Err(error) if error.kind == Kind::NotFound => Ok(None),
                 Err(error) => Err(error),
             };
-            deliver(&completions, Completion::Read { service, result });
+            deliver(&completions, term, Completion::Read { service, result });
         });
     }
 
@@ -81,10 +81,10 @@
             self.api.clone(),
             self.completions.clone(),
         );
-        let service = name.to_owned();
+        let (service, term) = (name.to_owned(), self.term);
         let record = Record {
             token: format!("{:016x}{:016x}", state.incarnation, rand::random::<u64>()),
-            term: self.term,
+            term,
             plan: plan.clone(),
         };
         tokio::task::spawn_local(async move {
@@ -95,14 +95,12 @@
             state
                 .metrics
                 .count_store_call("write", result_name(&result));
-            deliver(
-                &completions,
-                Completion::Written {
-                    service,
-                    plan,
-                    result,
-                },
-            );
+            let completion = Completion::Written {
+                service,
+                plan,
+                result,
+            };
+            deliver(&completions, term, completion);
         });
     }
 
--- /dev/null
+++ b/crates/edge/tests/terms.rs
@@ -0,0 +1,83 @@
+//! A host that becomes granter again while store calls of its earlier term are under way.
+
+mod common;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::router::add_holder;
+use common::state;
+use common::store::Store;
+use tarragon_dispatch::catalog::{Catalog, Service};
+use tarragon_edge::granting::Grants;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+
+/// Ticks until the next completion.
+async fn next<T>(grants: &mut Grants, completed: &mut UnboundedReceiver<T>) -> T {
+    let completion = async {
+        loop {
+            let _ = grants.tick(true);
+            sleep(Duration::from_millis(10)).await;
+            if let Ok(completion) = completed.try_recv() {
+                return completion;
+            }
+        }
+    };
+    let completion = timeout(Duration::from_secs(3), completion).await;
+    completion.expect("a completion")
+}
+
+/// Delivers the response to a call about the plan, a read or a write, in the term after.
+async fn response_in_the_next_term(is_read: bool) {
+    let state = Rc::new(state());
+    let catalog = Catalog {
+        version: 1,
+        services: vec![Service {
+            name: "s".to_owned(),
+            connections: 100,
+            keyed: true,
+        }],
+        ..Catalog::default()
+    };
+    state.apply_catalog(catalog, 1);
+    let store = Rc::new(Store::new());
+    add_holder(&state, "a").await;
+    let (completions, mut completed) = unbounded_channel();
+    let start = |term| {
+        let (state, store, completions) = (state.clone(), store.clone(), completions.clone());
+        Grants::new(state, store, completions, term, false)
+    };
+    let mut grants = start(1);
+    let no_plan = next(&mut grants, &mut completed).await;
+    grants.on_completion(no_plan);
+    let mut response = next(&mut grants, &mut completed).await;
+    if is_read {
+        grants = start(2);
+        response = next(&mut grants, &mut completed).await;
+    }
+    grants = start(3);
+    assert!(grants.tick(true).is_empty());
+    grants.on_completion(response);
+    let acts = !grants.tick(true).is_empty();
+    assert!(!acts, "the plan may have been replaced since");
+    let own = next(&mut grants, &mut completed).await;
+    grants.on_completion(own);
+    assert!(!grants.tick(true).is_empty(), "it acts on the plan it read");
+}
+
+macro_rules! earlier_term {
+    ($($name:ident: $is_read:literal;)*) => {$(
+        /// Guards against grants under a plan that another granter has replaced since.
+        #[tokio::test]
+        async fn $name() {
+            LocalSet::new().run_until(response_in_the_next_term($is_read)).await;
+        }
+    )*};
+}
+
+earlier_term! {
+    a_plan_that_an_earlier_term_read_is_read_again: true;
+    a_plan_that_an_earlier_term_wrote_is_read_again: false;
+}
