Count the time for grants from the check of the term

Cause: a tick checks the term at one reading of the clock, and Grants::tick read the clock again to set until when grants may be sent. A process that is paused in between (out of processor time, stopped) then sends grants for 150 ms after it runs again, however old its confirmation is; the freeze is only noticed at the next tick. A later granter that has ruled it out counts on 1 s + 0.15 s.

Change: Grants::tick takes the time of the check.

Evidence: a_tick_that_is_held_up_sends_no_grant failed with the second reading still in place (one command sent), passes now; plans and leaving pass, clippy passes.

--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -232,12 +232,12 @@
 
     /// Sends the due commands and updates the plans; returns the key maps that changed.
     ///
-    /// Unless the term is `confirmed`, another host may be the granter, and nothing is sent.
-    pub fn tick(&mut self, confirmed: bool) -> Vec<(String, Update)> {
+    /// Unless the term is `confirmed`, another host may be the granter, and nothing is sent. `now`
+    /// is the time at which that was found, so a pause of the process since delays no grant.
+    pub fn tick(&mut self, confirmed: bool, now: Instant) -> Vec<(String, Update)> {
         if !confirmed {
             return Vec::new();
         }
-        let now = self.state.now();
         self.send_until.set(now + SEND_WINDOW);
         let catalog = self.state.catalog();
         for service in catalog.services.iter().filter(|service| service.keyed) {
--- a/crates/edge/tests/plans.rs
+++ b/crates/edge/tests/plans.rs
@@ -41,7 +41,7 @@
     let mut step = async |grants: &mut Grants, time: Duration| {
         let end = tokio::time::Instant::now() + time;
         while tokio::time::Instant::now() < end {
-            for (service, update) in grants.tick(true) {
+            for (service, update) in grants.tick(true, state.now()) {
                 match update {
                     tarragon_edge::granting::Update::Map(map) => {
                         state.update_key_map(&service, map);
--- a/crates/edge/tests/terms.rs
+++ b/crates/edge/tests/terms.rs
@@ -1,4 +1,4 @@
-//! A host that becomes granter again while store calls of its earlier term are under way.
+//! What a granter may do in a term: after an earlier one of its own, and after a pause.
 
 mod common;
 
@@ -10,15 +10,16 @@
 use common::store::Store;
 use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_edge::granting::Grants;
+use tarragon_edge::state::State;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
 /// Ticks until the next completion.
-async fn next<T>(grants: &mut Grants, completed: &mut UnboundedReceiver<T>) -> T {
+async fn next<T>(state: &State, grants: &mut Grants, completed: &mut UnboundedReceiver<T>) -> T {
     let completion = async {
         loop {
-            let _ = grants.tick(true);
+            let _ = grants.tick(true, state.now());
             sleep(Duration::from_millis(10)).await;
             if let Ok(completion) = completed.try_recv() {
                 return completion;
@@ -29,9 +30,8 @@
     completion.expect("a completion")
 }
 
-/// Delivers the response to a call about the plan, a read or a write, in the term after.
-async fn response_in_the_next_term(is_read: bool) {
-    let state = Rc::new(state());
+fn keyed_state() -> Rc<State> {
+    let state = state();
     let catalog = Catalog {
         version: 1,
         services: vec![Service {
@@ -42,6 +42,12 @@
         ..Catalog::default()
     };
     state.apply_catalog(catalog, 1);
+    Rc::new(state)
+}
+
+/// Delivers the response to a call about the plan, a read or a write, in the term after.
+async fn response_in_the_next_term(is_read: bool) {
+    let state = keyed_state();
     let store = Rc::new(Store::new());
     add_holder(&state, "a").await;
     let (completions, mut completed) = unbounded_channel();
@@ -50,21 +56,24 @@
         Grants::new(state, store, completions, term, false)
     };
     let mut grants = start(1);
-    let no_plan = next(&mut grants, &mut completed).await;
+    let no_plan = next(&state, &mut grants, &mut completed).await;
     grants.on_completion(no_plan);
-    let mut response = next(&mut grants, &mut completed).await;
+    let mut response = next(&state, &mut grants, &mut completed).await;
     if is_read {
         grants = start(2);
-        response = next(&mut grants, &mut completed).await;
+        response = next(&state, &mut grants, &mut completed).await;
     }
     grants = start(3);
-    assert!(grants.tick(true).is_empty());
+    assert!(grants.tick(true, state.now()).is_empty());
     grants.on_completion(response);
-    let acts = !grants.tick(true).is_empty();
+    let acts = !grants.tick(true, state.now()).is_empty();
     assert!(!acts, "the plan may have been replaced since");
-    let own = next(&mut grants, &mut completed).await;
+    let own = next(&state, &mut grants, &mut completed).await;
     grants.on_completion(own);
-    assert!(!grants.tick(true).is_empty(), "it acts on the plan it read");
+    assert!(
+        !grants.tick(true, state.now()).is_empty(),
+        "it acts on the plan it read"
+    );
 }
 
 macro_rules! earlier_term {
@@ -81,3 +90,25 @@
     a_plan_that_an_earlier_term_read_is_read_again: true;
     a_plan_that_an_earlier_term_wrote_is_read_again: false;
 }
+
+/// Guards against grants of a process that stood still after it had found its term confirmed.
+#[tokio::test]
+async fn a_tick_that_is_held_up_sends_no_grant() {
+    let test = async {
+        let state = keyed_state();
+        let commands = add_holder(&state, "a").await;
+        let (completions, mut completed) = unbounded_channel();
+        let store = Rc::new(Store::new());
+        let mut grants = Grants::new(state.clone(), store, completions, 1, true);
+        for _ in 0..2 {
+            let response = next(&state, &mut grants, &mut completed).await;
+            grants.on_completion(response);
+        }
+        let now = state.now();
+        std::thread::sleep(Duration::from_millis(200));
+        let _ = grants.tick(true, now);
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(commands.get(), 0, "another host may be granter by then");
+    };
+    LocalSet::new().run_until(test).await;
+}
