--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -24,7 +24,7 @@
 
 use self::elected::Elected;
 use crate::cluster::Cache;
-use crate::granting::{Completion, Update};
+use crate::granting::{Delivery, Update};
 use crate::lag;
 use crate::peer::{Event, Frame, Links};
 use crate::state::State;
@@ -229,7 +229,7 @@
     /// Whether the process is about to end; it makes no claim then.
     leaving: bool,
     store_responses: UnboundedSender<StoreResponse>,
-    completions: UnboundedSender<Completion>,
+    completions: UnboundedSender<Delivery>,
 }
 
 /// Takes part in the election until the process ends.
@@ -462,7 +462,7 @@
         let own = process_id(&self.state.settings.host, self.state.incarnation);
         let confirmed = elected.is_confirmed(&own, now);
         elected.drop_blocked_predecessors(&own, now);
-        for (service, update) in elected.grants.tick(confirmed) {
+        for (service, update) in elected.grants.tick(confirmed, now) {
             match update {
                 Update::Map(map) => {
                     self.state.update_key_map(&service, map.clone());
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -73,6 +73,12 @@
     }
 }
 
+/// Result of a task, with the term in which it was started.
+pub struct Delivery {
+    term: u64,
+    completion: Completion,
+}
+
 /// Result of a task that the granter started.
 pub enum Completion {
     /// A command ended.
@@ -144,7 +150,7 @@
 pub struct Grants {
     state: Rc<State>,
     api: Rc<dyn Api>,
-    completions: UnboundedSender<Completion>,
+    completions: UnboundedSender<Delivery>,
     pool: Rc<Pool>,
     term: u64,
     sole_granter: bool,
@@ -164,7 +170,7 @@
     pub fn new(
         state: Rc<State>,
         api: Rc<dyn Api>,
-        completions: UnboundedSender<Completion>,
+        completions: UnboundedSender<Delivery>,
         term: u64,
         sole_granter: bool,
     ) -> Self {
@@ -231,12 +237,12 @@
 
     /// Sends the due commands and updates the plans; returns the key maps that changed.
     ///
-    /// Unless the term is `confirmed`, another host may be the granter, and nothing is sent.
-    pub fn tick(&mut self, confirmed: bool) -> Vec<(String, Update)> {
+    /// Unless the term is `confirmed`, another host may be the granter, and nothing is sent. `now`
+    /// is the time at which that was found, so a pause of the process since delays no grant.
+    pub fn tick(&mut self, confirmed: bool, now: Instant) -> Vec<(String, Update)> {
         if !confirmed {
             return Vec::new();
         }
-        let now = self.state.now();
         self.send_until.set(now + SEND_WINDOW);
         let catalog = self.state.catalog();
         for service in catalog.services.iter().filter(|service| service.keyed) {
@@ -355,6 +361,7 @@
             self.completions.clone(),
         );
         let (send_until, timing) = (self.send_until.clone(), self.timing());
+        let term = self.term;
         let service = name.to_owned();
         tokio::task::spawn_local(async move {
             let pending = command::Pending {
@@ -365,23 +372,26 @@
                 send_until: &send_until,
             };
             let (outcome, sent) = command::send(&state, &pool, pending).await;
-            deliver(
-                &completions,
-                Completion::Command {
-                    service,
-                    command,
-                    due,
-                    sent,
-                    outcome,
-                },
-            );
+            let completion = Completion::Command {
+                service,
+                command,
+                due,
+                sent,
+                outcome,
+            };
+            deliver(&completions, term, completion);
         });
     }
 
-    /// Applies the result of a task.
-    pub fn on_completion(&mut self, completion: Completion) {
+    /// Applies the result of a task, unless it was started in another term: other granters may have
+    /// acted since.
+    pub fn on_completion(&mut self, delivery: Delivery) {
         let now = self.state.now();
-        match completion {
+        if delivery.term != self.term {
+            log::debug!("event=completion-outdated term={}", delivery.term);
+            return;
+        }
+        match delivery.completion {
             Completion::Command {
                 service,
                 command,
@@ -546,8 +556,8 @@
     }
 }
 
-fn deliver(completions: &UnboundedSender<Completion>, completion: Completion) {
-    if completions.send(completion).is_err() {
+fn deliver(completions: &UnboundedSender<Delivery>, term: u64, completion: Completion) {
+    if completions.send(Delivery { term, completion }).is_err() {
         log::debug!("event=completion-dropped reason=\"process ends\"");
     }
 }
