Answer requests under way when a stop's grace period ends

Cause: at the end of the grace period (5.5 s of 6 s) the process ended and dropped all tasks. Requests under way, also those that must not be repeated, saw their connection end without an answer, and no log line told of them.

Change: before it ends the process interrupts them. One log line `event=stop step=interrupt` and the usual line per request tell of it.

Such an answer promises no more than a cut, but is told apart from a lost host, and is on record.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::relay::{self, Body, CallerRequest, ServerResponse};
-use crate::routed::{self, DEFAULT_RETRY_AFTER, Failure};
+use crate::routed::{self, DEFAULT_RETRY_AFTER, Failure, STOPPING};
 use crate::socket::Socket;
 use crate::state::State;
 use crate::{body, pool};
@@ -206,7 +206,13 @@
     let wait = wait.unwrap_or(DEFAULT_TIMEOUT).min(entry.route.timeout);
     let deadline = started + wait;
     let max_bytes = usize::try_from(state.catalog().limits.body_bytes).unwrap_or(usize::MAX);
-    let read = body::read(body, &state.body_memory, max_bytes, deadline).await;
+    let read = tokio::select! {
+        biased;
+        read = body::read(body, &state.body_memory, max_bytes, deadline) => read,
+        () = state.interrupt.cancelled() => {
+            return Err(Failure::not_run(STOPPING, DEFAULT_RETRY_AFTER));
+        }
+    };
     let (body, _reservation) = read.map_err(|error| body_failure(error, deadline))?;
     let key = header_number(&head.headers, &names.key).and_then(|key| u16::try_from(key).ok());
     let mut headers = head.headers;
@@ -222,9 +228,15 @@
     };
     let mut routed =
         routed::Request::new(state, &entry, request, key, fingerprint, started, deadline);
-    let result = match tokio::time::timeout_at(deadline, routed.run()).await {
-        Ok(result) => result,
-        Err(_) => Err(routed.timed_out()),
+    let ended = tokio::select! {
+        biased;
+        ended = tokio::time::timeout_at(deadline, routed.run()) => Some(ended),
+        () = state.interrupt.cancelled() => None,
+    };
+    let result = match ended {
+        Some(Ok(result)) => result,
+        Some(Err(_)) => Err(routed.timed_out()),
+        None => Err(routed.interrupted()),
     };
     *trace = routed.into_trace();
     result
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -35,8 +35,11 @@
 const BACKLOG: u32 = 1_024;
 /// Time after which the platform's load balancer has noticed that a host is not ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2_300);
-/// Part of the grace period that is reserved for ending the process after connections closed.
+/// Part of the grace period that is reserved for answering interrupted requests and ending the
+/// process.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(500);
+/// Time for the answers of interrupted requests to leave, within [`SHUTDOWN_RESERVE`].
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 /// Interval between two reads of the settings file, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -146,7 +149,7 @@
 }
 
 /// Waits for the stop signal, then stops accepting connections and lets open ones finish within the
-/// grace period.
+/// grace period. Requests that are then still under way are interrupted.
 async fn stop(state: &State) -> Result<(), Error> {
     let failed = |error: io::Error| Error::Setup {
         step: "signals",
@@ -172,6 +175,17 @@
     while in_use() && tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    if state.connections.get() > 0 {
+        log::info!(
+            "event=stop step=interrupt connections={}",
+            state.connections.get()
+        );
+        state.interrupt.cancel();
+        let flushed = tokio::time::Instant::now() + FLUSH_TIME;
+        while state.connections.get() > 0 && tokio::time::Instant::now() < flushed {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
     log::info!(
         "event=stop step=end connections={}",
         state.connections.get()
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -18,7 +18,7 @@
 
 mod failure;
 
-pub use self::failure::{DEFAULT_RETRY_AFTER, Failure};
+pub use self::failure::{DEFAULT_RETRY_AFTER, Failure, STOPPING};
 
 /// Fraction of the remaining time for which a request waits for a holder of its key.
 const KEY_WAIT_FRACTION: f64 = 0.4;
@@ -172,13 +172,27 @@
     /// Returns the failure of the request at its deadline.
     #[must_use]
     pub fn timed_out(&self) -> Failure {
-        if self.unknown_sends == 0 && !self.sending {
+        if self.may_have_run() {
+            Failure::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        } else {
             Failure::not_run("no time left", DEFAULT_RETRY_AFTER)
+        }
+    }
+
+    /// Returns the failure of the request when the process ends before it.
+    #[must_use]
+    pub fn interrupted(&self) -> Failure {
+        if self.may_have_run() {
+            Failure::new(StatusCode::GATEWAY_TIMEOUT, STOPPING)
         } else {
-            Failure::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+            Failure::not_run(STOPPING, DEFAULT_RETRY_AFTER)
         }
     }
 
+    const fn may_have_run(&self) -> bool {
+        self.unknown_sends > 0 || self.sending
+    }
+
     /// Sends the request until there is a final response.
     ///
     /// # Errors
--- a/crates/edge/src/routed/failure.rs
+++ b/crates/edge/src/routed/failure.rs
@@ -7,6 +7,9 @@
 /// Default `Retry-After` of a request that was not run.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Reason of a failure because the process ends.
+pub const STOPPING: &str = "the host stops";
+
 /// Failure that the router reports itself, without a response to forward.
 #[derive(Clone, Copy, Debug)]
 pub struct Failure {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -64,6 +64,8 @@
     pub leaving: CancellationToken,
     /// Cancelled when the process stops accepting caller connections.
     pub drain: CancellationToken,
+    /// Cancelled shortly before the process ends: requests under way are answered at once.
+    pub interrupt: CancellationToken,
     /// Cancelled when all tasks have to end.
     pub stop: CancellationToken,
     catalog: RefCell<Rc<Catalog>>,
@@ -105,6 +107,7 @@
             connections: Cell::new(0),
             is_granter: Cell::new(false),
             leaving: CancellationToken::new(),
+            interrupt: CancellationToken::new(),
             stop: CancellationToken::new(),
             catalog: RefCell::default(),
             table: RefCell::default(),
