Refuse late requests that may outlast the stop of a host

Cause: a stopping host passed on every request that it had read, however late. A head or body that came slowly was complete up to a second before the end of the grace period; its request went to a backend server and was cut, although another host could have run it.

Change: a stopping host passes a request on only if it is expected to end before the process: the deadline is early enough, or the route's objective and three times the estimate of the backend server are, and the stop signal came less than 3 s ago. Otherwise it answers 503 with `Retry-After` and `Connection: close` before anything is sent.

Evidence: test late_requests_that_may_outlast_a_stop_are_refused_before_they_are_passed_on (real processes; last bytes 4 s after the signal, a request of 8 s). It failed before with has_started true and status None, cut 5.68 s after the signal, for a slow body, a slow head, a kept connection and an idempotent request. Usual work just before the listener closes, and a late request whose deadline is early enough, are still answered 200.

Conclusion: such a request now goes to another host unharmed.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -448,14 +448,7 @@
     #[must_use]
     pub fn retry_after(&self, id: &str, criteria: &Criteria<'_>, now: Instant) -> Option<Duration> {
         let server = self.servers.get(id)?;
-        let baseline = self
-            .baselines
-            .get(criteria.service)
-            .copied()
-            .unwrap_or_default();
-        let expected_ms = server
-            .estimate
-            .expected_ms(&baseline, server.entry.slots, now);
+        let expected_ms = self.expected_ms(server, now);
         let allowed = criteria.allowed_ms();
         if expected_ms <= allowed || !server.estimate.is_full(server.entry.slots, now) {
             return None;
@@ -464,6 +457,22 @@
         Some(Duration::from_secs_f64(over / 1_000.0))
     }
 
+    /// Returns the expected response time of one more request at a server, `None` if the server is
+    /// not known.
+    #[must_use]
+    pub fn expected(&self, id: &str, now: Instant) -> Option<Duration> {
+        let expected_ms = self.expected_ms(self.servers.get(id)?, now);
+        Duration::try_from_secs_f64(expected_ms / 1_000.0).ok()
+    }
+
+    fn expected_ms(&self, server: &Server, now: Instant) -> f64 {
+        let baseline = self.baselines.get(&server.entry.service);
+        let baseline = baseline.copied().unwrap_or_default();
+        server
+            .estimate
+            .expected_ms(&baseline, server.entry.slots, now)
+    }
+
     fn distance(&self, zone: &str) -> estimate::Distance {
         if zone == self.location.zone {
             return estimate::Distance::Zone;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod relay;
 pub mod routed;
 pub mod settings;
+pub mod shutdown;
 pub mod socket;
 pub mod state;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -24,6 +24,7 @@
 use crate::peer::Links;
 use crate::platform::Platform;
 use crate::settings::Settings;
+use crate::shutdown::Schedule;
 use crate::state::State;
 use crate::{election, front};
 
@@ -162,17 +163,21 @@
         _ = interrupt.recv() => {}
     }
     let grace = state.bounds.get().grace;
-    let end = tokio::time::Instant::now() + grace.saturating_sub(SHUTDOWN_RESERVE);
+    let schedule = Schedule::new(
+        tokio::time::Instant::now(),
+        grace.saturating_sub(SHUTDOWN_RESERVE),
+    );
     log::info!(
         "event=stop step=leaving connections={} grace_ms={}",
         state.connections.get(),
         grace.as_millis()
     );
+    state.shutdown.set(Some(schedule));
     state.leaving.cancel();
     tokio::time::sleep(READINESS_DELAY.min(grace / 2)).await;
     state.drain.cancel();
     let in_use = || state.connections.get() > 0 || state.is_granter.get();
-    while in_use() && tokio::time::Instant::now() < end {
+    while in_use() && tokio::time::Instant::now() < schedule.end() {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     if state.connections.get() > 0 {
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -28,6 +28,8 @@
 const MAX_SENDS: u32 = 4;
 /// Maximum number of waits of one request for a connection; the relay limits the time of each.
 const MAX_CONNECTION_WAITS: u32 = 3;
+/// Multiple of the expected response time within which nearly all requests end.
+const USUAL_TIME_FACTOR: u32 = 3;
 /// Remaining time below which a request is not retried.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
@@ -222,6 +224,9 @@
                 Some(key) => self.wait_for_holder(key).await?,
                 None => Target::any(self.select_server()?),
             };
+            if !self.ends_before_shutdown(&target.pick.id) {
+                return Err(self.failure(STOPPING, DEFAULT_RETRY_AFTER));
+            }
             self.sends += 1;
             self.sending = true;
             let sent = Instant::now();
@@ -250,6 +255,16 @@
         }
     }
 
+    /// Returns whether a send to a backend server is expected to end before a stopping process.
+    fn ends_before_shutdown(&self, id: &str) -> bool {
+        self.state.shutdown.get().is_none_or(|schedule| {
+            let fleet = self.state.fleet.borrow();
+            let expected = fleet.expected(id, self.state.now()).unwrap_or_default();
+            let usual = self.route.objective.max(expected * USUAL_TIME_FACTOR);
+            schedule.admits(Instant::now(), self.deadline, usual)
+        })
+    }
+
     /// Records a response that left its connection open.
     fn record_answer(&mut self, pick: &Pick, attempt: &Attempt) {
         let full = match attempt.outcome {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -22,6 +22,7 @@
 use crate::platform::Platform;
 use crate::pool::Pool;
 use crate::settings::{Bounds, Settings};
+use crate::shutdown::Schedule;
 
 /// Number of hosts assumed to share the budgets until the granter has sent the real number.
 const ASSUMED_HOSTS: u32 = 16;
@@ -60,6 +61,8 @@
     pub connections: Cell<usize>,
     /// Whether this process renews the grants of all keys.
     pub is_granter: Cell<bool>,
+    /// Times of the stop after its signal.
+    pub shutdown: Cell<Option<Schedule>>,
     /// Cancelled on the stop signal: the process reports that it is not ready.
     pub leaving: CancellationToken,
     /// Cancelled when the process stops accepting caller connections.
@@ -106,6 +109,7 @@
             bounds: Cell::new(bounds),
             connections: Cell::new(0),
             is_granter: Cell::new(false),
+            shutdown: Cell::new(None),
             leaving: CancellationToken::new(),
             interrupt: CancellationToken::new(),
             stop: CancellationToken::new(),
