--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod relay;
 pub mod routed;
 pub mod settings;
+pub mod shutdown;
 pub mod socket;
 pub mod state;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -22,6 +22,7 @@
 use crate::platform::Platform;
 use crate::pool::Pool;
 use crate::settings::{Bounds, Settings};
+use crate::shutdown::Schedule;
 
 /// Number of hosts assumed to share the budgets until the granter has sent the real number.
 const ASSUMED_HOSTS: u32 = 16;
@@ -60,10 +61,14 @@
     pub connections: Cell<usize>,
     /// Whether this process renews the grants of all keys.
     pub is_granter: Cell<bool>,
+    /// Times of the stop after its signal.
+    pub shutdown: Cell<Option<Schedule>>,
     /// Cancelled on the stop signal: the process reports that it is not ready.
     pub leaving: CancellationToken,
     /// Cancelled when the process stops accepting caller connections.
     pub drain: CancellationToken,
+    /// Cancelled shortly before the process ends: requests under way are answered at once.
+    pub interrupt: CancellationToken,
     /// Cancelled when all tasks have to end.
     pub stop: CancellationToken,
     catalog: RefCell<Rc<Catalog>>,
@@ -104,7 +109,9 @@
             bounds: Cell::new(bounds),
             connections: Cell::new(0),
             is_granter: Cell::new(false),
+            shutdown: Cell::new(None),
             leaving: CancellationToken::new(),
+            interrupt: CancellationToken::new(),
             stop: CancellationToken::new(),
             catalog: RefCell::default(),
             table: RefCell::default(),
