Count the start of a response as memory until it is written

Operators reported that bytes without end from a faulty backend server used up the memory of the host that had called it.

Cause: the reservation for a buffered response ended when the response was handed on, while up to 1 MiB of it (2 MiB with the spare capacity of its buffer) waited for a caller that did not read. The write buffer of a caller connection took another 400 KiB. With some hundred such responses the memory budget showed nothing in use and the process was past its limit.

Change: the buffered bytes carry their reservation until they have been written; the reservation is made before the buffer grows, and for its capacity. The write buffer of a caller connection takes frames up to 64 KiB.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -3,8 +3,8 @@
 //! A request body is read to its end before a backend server is chosen. A slow caller then occupies
 //! no server, and a request of which no byte was sent can still go to another server.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -18,37 +18,37 @@
 #[derive(Debug)]
 pub struct Memory {
     limit: usize,
-    used: Cell<usize>,
+    used: AtomicUsize,
 }
 
 impl Memory {
     /// Creates the budget of a host with `memory` bytes in all.
     #[must_use]
-    pub fn of_host(memory: usize) -> Rc<Self> {
-        Rc::new(Self {
+    pub fn of_host(memory: usize) -> Arc<Self> {
+        Arc::new(Self {
             limit: memory / MEMORY_DIVISOR,
-            used: Cell::new(0),
+            used: AtomicUsize::new(0),
         })
     }
 
     /// Returns the number of bytes in use.
     #[must_use]
     pub fn used(&self) -> usize {
-        self.used.get()
+        self.used.load(Ordering::Relaxed)
     }
 }
 
 /// Part of the memory that one body uses, until dropped.
 #[derive(Debug)]
 pub struct Reservation {
-    memory: Rc<Memory>,
+    memory: Arc<Memory>,
     bytes: usize,
 }
 
 impl Reservation {
     /// Creates an empty reservation.
     #[must_use]
-    pub const fn new(memory: Rc<Memory>) -> Self {
+    pub const fn new(memory: Arc<Memory>) -> Self {
         Self { memory, bytes: 0 }
     }
 
@@ -66,20 +66,39 @@
     /// ```
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
-        let used = self.memory.used.get().saturating_add(more);
-        if used > self.memory.limit {
+        if self.memory.used().saturating_add(more) > self.memory.limit {
             return false;
         }
-        self.memory.used.set(used);
+        self.memory.used.fetch_add(more, Ordering::Relaxed);
         self.bytes += more;
         true
     }
+
+    /// Returns `bytes`, which keep the reservation until the last copy of them is dropped.
+    #[must_use]
+    pub fn keep_for(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(Reserved {
+            bytes,
+            _reservation: self,
+        })
+    }
+}
+
+/// Bytes with the memory that they use.
+struct Reserved {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Reserved {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let used = self.memory.used.get();
-        self.memory.used.set(used.saturating_sub(self.bytes));
+        self.memory.used.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
@@ -110,11 +129,11 @@
 /// Returns why the body was not read; no backend server has seen the request.
 pub async fn read(
     mut body: Incoming,
-    memory: &Rc<Memory>,
+    memory: &Arc<Memory>,
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<(Bytes, Reservation), Error> {
-    let mut reservation = Reservation::new(Rc::clone(memory));
+    let mut reservation = Reservation::new(Arc::clone(memory));
     let declared = body.size_hint().lower();
     let declared = usize::try_from(declared).unwrap_or(usize::MAX);
     let collected = collect(&mut body, &mut reservation, declared, max_bytes);
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -26,6 +26,10 @@
 /// Timeout of a request without a deadline header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Least size of the buffers of a caller connection, in bytes. A write buffer of this size takes no
+/// more frames of a response.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// Time without a new connection after which a stopping process accepts no more.
 const LATE_ACCEPT_WAIT: Duration = Duration::from_millis(100);
 /// Time for which a stopping process leaves an idle connection open, for a request on its way.
@@ -96,6 +100,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_header_size(limits.header_bytes)
+        .max_buf_size(limits.header_bytes.max(BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(socket.clone()), service);
     let mut served = std::pin::pin!(served);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -327,8 +328,8 @@
     }
     let reuse = connection_reuse(&head.headers);
     let declared_length = head.headers.get(CONTENT_LENGTH).cloned();
-    let mut memory = Reservation::new(Rc::clone(&state.body_memory));
-    let content = match buffer_body(&mut body, &mut memory).await {
+    let memory = Reservation::new(Arc::clone(&state.body_memory));
+    let content = match buffer_body(&mut body, memory).await {
         Ok(content) => content,
         Err(text) => {
             guard.finish(AttemptClass::Failed, load, 0);
@@ -360,7 +361,7 @@
             full_body(bytes)
         }
         Buffered::Partial(start) => {
-            guard.finish(class, load, start.len());
+            guard.finish(class, load, start.iter().map(Bytes::len).sum());
             let declared = declared_length.is_some();
             if let Some(length) = declared_length {
                 headers.insert(CONTENT_LENGTH, length);
@@ -379,41 +380,51 @@
 /// Part of a response body that was read before it is forwarded.
 enum Buffered {
     Complete(Bytes),
-    Partial(Bytes),
+    Partial(SmallVec<[Bytes; 2]>),
 }
 
 /// Reads a body to its end, or until it exceeds [`MAX_BUFFERED_BYTES`] or the memory that is left.
-async fn buffer_body(body: &mut Incoming, memory: &mut Reservation) -> Result<Buffered, String> {
-    let mut first: Option<Bytes> = None;
+///
+/// The memory stays reserved until the bytes have been written to the caller.
+async fn buffer_body(body: &mut Incoming, mut memory: Reservation) -> Result<Buffered, String> {
+    let mut first = Bytes::new();
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| pool::error_chain(&error))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        match &first {
-            None => first = Some(data),
-            Some(start) => {
-                if rest.is_empty() {
-                    rest.extend_from_slice(start);
-                }
-                rest.extend_from_slice(&data);
-            }
+        let kept = first.len() + rest.len();
+        let read = kept + data.len();
+        // `rest` doubles its capacity when it grows.
+        let capacity = if kept == 0 {
+            read
+        } else {
+            read.next_power_of_two()
+        };
+        if read > MAX_BUFFERED_BYTES || !memory.grow_to(capacity) {
+            let start = memory.keep_for(joined(first, rest));
+            let parts = [start, data].into_iter().filter(|part| !part.is_empty());
+            return Ok(Buffered::Partial(parts.collect()));
         }
-        let read = rest.len().max(first.as_ref().map_or(0, Bytes::len));
-        if read > MAX_BUFFERED_BYTES || !memory.grow_to(read) {
-            let start = if rest.is_empty() {
-                first.unwrap_or_default()
-            } else {
-                rest.freeze()
-            };
-            return Ok(Buffered::Partial(start));
+        if kept == 0 {
+            first = data;
+            continue;
         }
+        rest.reserve(capacity - rest.len());
+        rest.extend_from_slice(&std::mem::take(&mut first));
+        rest.extend_from_slice(&data);
     }
+    Ok(Buffered::Complete(memory.keep_for(joined(first, rest))))
+}
+
+/// Returns the bytes of a body, which are all in one of the parts.
+fn joined(first: Bytes, rest: BytesMut) -> Bytes {
     if rest.is_empty() {
-        return Ok(Buffered::Complete(first.unwrap_or_default()));
+        first
+    } else {
+        rest.freeze()
     }
-    Ok(Buffered::Complete(rest.freeze()))
 }
 
 /// Returns a body of the given bytes.
@@ -458,12 +469,17 @@
     }
 }
 
-/// Returns a body that begins with `start` and forwards the rest of `body` as it arrives.
+/// Returns a body that begins with the parts of `start` and forwards the rest of `body` as it arrives.
 ///
 /// A body that breaks off or exceeds the limit ends with an error, so that the caller does not take
 /// it for complete. The connection stays checked out of the pool until the body is dropped.
-fn stream_body(start: Bytes, body: Incoming, connection: Connection, limit: Limit) -> Body {
-    let first = futures::stream::once(async move { Ok(Frame::data(start)) });
+fn stream_body(
+    start: SmallVec<[Bytes; 2]>,
+    body: Incoming,
+    connection: Connection,
+    limit: Limit,
+) -> Body {
+    let first = futures::stream::iter(start.into_iter().map(|part| Ok(Frame::data(part))));
     let rest = futures::stream::unfold(Some((body, connection, limit)), |stream| async move {
         let (mut body, connection, limit) = stream?;
         let frame = limit.next_frame(&mut body).await?;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tarragon_dispatch::budget::Budget;
@@ -45,7 +46,7 @@
     /// Claims of the key maps that backend servers have denied.
     pub denials: RefCell<Denials>,
     /// Memory for the bodies of requests and responses.
-    pub body_memory: Rc<body::Memory>,
+    pub body_memory: Arc<body::Memory>,
     /// Requests suspected or known to crash backend servers.
     pub quarantine: RefCell<Quarantine>,
     /// Number of hosts that share the retry budgets and the connection limits.
--- a/crates/edge/tests/common/router.rs
+++ b/crates/edge/tests/common/router.rs
@@ -23,13 +23,26 @@
 
 /// Runs `test` beside a router with one route to the service `s`.
 pub async fn with_router<F, T>(kind: Kind, keyed: bool, test: impl FnOnce(Router) -> F) -> T
+where
+    F: Future<Output = T>,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    with_listener(listener, kind, keyed, test).await
+}
+
+/// Like [`with_router`], with callers that connect to `listener`.
+pub async fn with_listener<F, T>(
+    listener: TcpListener,
+    kind: Kind,
+    keyed: bool,
+    test: impl FnOnce(Router) -> F,
+) -> T
 where
     F: Future<Output = T>,
 {
     let state = Rc::new(state());
     state.apply_catalog(catalog(kind, keyed), 1);
     state.host_count.set(1);
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let local = LocalSet::new();
     local.spawn_local(front::serve(state.clone(), listener));
