Close the socket of a request at once when the request is given up

Cause: dropping a connection only woke its task, and the task closed the socket when it ran. On a host short of processor time that is later than the outcome of the grant that was given up, and until then its bytes may leave the host: the transit of 0.5 s counts from the outcome.

Change: the socket is shared by the HTTP library and the user of the connection. Dropping a connection that the pool does not get back closes the socket in the same turn, before the outcome is reported, and ends its task. This holds for callers' requests too, which use the same pool.

Conclusion: max_transit now counts from a socket that is closed.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -16,6 +16,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 mod stream;
@@ -98,6 +99,7 @@
     serial: Serial,
     sender: SendRequest<Body>,
     control: Control,
+    task: AbortHandle,
     since: Instant,
     expires: Instant,
 }
@@ -112,11 +114,14 @@
     }
 }
 
-/// Connection in exclusive use by one request.
+/// Connection in exclusive use by one request; dropping it closes its socket at once.
 pub struct Connection {
     serial: Serial,
     sender: Option<SendRequest<Body>>,
     control: Control,
+    /// Task that reads and writes.
+    task: AbortHandle,
+    recycled: bool,
     server: Rc<Server>,
     /// Whether the connection has carried earlier requests.
     pub reused: bool,
@@ -170,6 +175,8 @@
                     serial: idle.serial,
                     sender: Some(idle.sender),
                     control: idle.control,
+                    task: idle.task,
+                    recycled: false,
                     server,
                     reused: true,
                 });
@@ -275,7 +282,7 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
-    tokio::task::spawn_local(async move {
+    let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=connection-ended peer={addr} error=\"{error}\"");
         }
@@ -285,6 +292,8 @@
         serial,
         sender: Some(sender),
         control,
+        task: task.abort_handle(),
+        recycled: false,
         server,
         reused: false,
     })
@@ -402,10 +411,12 @@
             + keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |time| {
                 time.mul_f64(KEEP_ALIVE_FRACTION)
             });
+        self.recycled = true;
         self.server.idle.borrow_mut().push(Idle {
             serial: self.serial,
             sender,
-            control: self.control,
+            control: self.control.clone(),
+            task: self.task.clone(),
             since: now,
             expires,
         });
@@ -413,6 +424,17 @@
     }
 }
 
+impl Drop for Connection {
+    /// Closes the socket, unless the pool has the connection again. The connection's task may run
+    /// late, and bytes of a request that was given up would leave until then.
+    fn drop(&mut self) {
+        if !self.recycled {
+            self.control.close();
+            self.task.abort();
+        }
+    }
+}
+
 /// Returns the text of an error followed by the texts of its sources.
 #[must_use]
 pub fn error_chain(error: &dyn std::error::Error) -> String {
--- a/crates/edge/src/pool/stream.rs
+++ b/crates/edge/src/pool/stream.rs
@@ -21,46 +21,65 @@
     fn note_written(&self);
 }
 
-/// What restricts the writes of a connection.
-#[derive(Clone, Default)]
-pub(super) struct Control(Rc<RefCell<Option<Rc<dyn Permit>>>>);
+#[derive(Default)]
+struct Shared {
+    /// The socket, until it is closed.
+    socket: RefCell<Option<TcpStream>>,
+    permit: RefCell<Option<Rc<dyn Permit>>>,
+}
+
+/// Control of a connection's socket by the user of the connection.
+#[derive(Clone)]
+pub(super) struct Control(Rc<Shared>);
 
 impl Control {
     /// Sets what decides about all further writes; `None` allows them.
     pub(super) fn restrict(&self, permit: Option<Rc<dyn Permit>>) {
-        *self.0.borrow_mut() = permit;
+        *self.0.permit.borrow_mut() = permit;
     }
-}
 
-/// Socket that writes only what its [`Control`] allows.
-pub(super) struct Stream {
-    socket: TcpStream,
-    control: Control,
+    /// Closes the socket at once.
+    pub(super) fn close(&self) {
+        self.0.socket.borrow_mut().take();
+    }
 }
 
+/// Socket that writes only what its [`Control`] allows. Dropping it closes the socket.
+pub(super) struct Stream(Rc<Shared>);
+
 impl Stream {
     pub(super) fn new(socket: TcpStream) -> (Self, Control) {
-        let control = Control::default();
-        let stream = Self {
-            socket,
-            control: control.clone(),
-        };
-        (stream, control)
+        let shared = Rc::new(Shared {
+            socket: RefCell::new(Some(socket)),
+            permit: RefCell::default(),
+        });
+        (Self(Rc::clone(&shared)), Control(shared))
+    }
+
+    /// Applies an operation to the socket unless it is closed.
+    fn with_socket<T>(
+        &self,
+        operation: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        match &mut *self.0.socket.borrow_mut() {
+            Some(socket) => operation(Pin::new(socket)),
+            None => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+        }
     }
 
     fn write(
-        &mut self,
+        &self,
         write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        let permit = self.control.0.borrow();
+        let permit = self.0.permit.borrow();
         let Some(permit) = &*permit else {
-            return write(Pin::new(&mut self.socket));
+            return self.with_socket(write);
         };
         if !permit.allows() {
             let error = io::Error::new(io::ErrorKind::PermissionDenied, "write withheld");
             return Poll::Ready(Err(error));
         }
-        let written = write(Pin::new(&mut self.socket));
+        let written = self.with_socket(write);
         if let Poll::Ready(Ok(1..)) = written {
             permit.note_written();
         }
@@ -68,19 +87,25 @@
     }
 }
 
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.0.socket.borrow_mut().take();
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buffer)
+        self.with_socket(|socket| socket.poll_read(cx, buffer))
     }
 }
 
 impl AsyncWrite for Stream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
@@ -88,7 +113,7 @@
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
@@ -96,14 +121,14 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with_socket(|socket| socket.poll_flush(cx))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with_socket(|socket| socket.poll_shutdown(cx))
     }
 }
--- a/crates/edge/tests/late_grants.rs
+++ b/crates/edge/tests/late_grants.rs
@@ -224,3 +224,39 @@
     let received = reader.join().unwrap();
     assert!(received > 0 && received < LONG_ID_BYTES, "{received} bytes");
 }
+
+/// Guards against bytes of a grant that leave after its outcome is known, as the task that closes
+/// its connection runs later.
+#[tokio::test]
+async fn a_grant_that_is_given_up_has_no_open_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let reader = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut bytes = [0; 4_096];
+        assert!(stream.read(&mut bytes).unwrap() > 0);
+        let end = stream.read(&mut bytes).map_err(|error| error.kind());
+        (end, Instant::now())
+    });
+    let state = state();
+    state.update_server(entry_at("a", address), 1);
+    let pending = Pending {
+        command: &grant("a"),
+        due_at: state.now(),
+        max_delay: RESPONSE_TIMEOUT,
+        response_timeout: HELD_UP,
+        send_until: &Rc::new(Cell::new(state.now() + Duration::from_mins(1))),
+    };
+    let pool = Pool::default();
+    let sending = async {
+        let (outcome, _) = command::send(&state, &pool, pending).await;
+        let ended = Instant::now();
+        thread::sleep(HELD_UP * 4);
+        (outcome, ended)
+    };
+    let (outcome, ended) = LocalSet::new().run_until(sending).await;
+    assert_eq!(outcome, CommandOutcome::Unknown);
+    let (end, reset) = reader.join().unwrap();
+    assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
+    assert!(reset < ended + HELD_UP * 2, "{:?} later", reset - ended);
+}
