--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use tarragon_edge::platform::{Headers, Platform};
 use tarragon_edge::settings::{Bounds, Settings};
 use tarragon_edge::state::State;
-use tarragon_owner::granter::Command;
+use tarragon_owner::granter::{Action, Command};
 use tarragon_store::dialect::{Dialect, Native, Request};
 use tarragon_store::object::{Key, List, Object, Version};
 
@@ -76,7 +76,12 @@
     }
 
     fn encode_command(&self, command: &Command, grant_ms: u128) -> Request {
-        let body = json!({ "from": command.from, "to": command.to, "hold": grant_ms.to_string() });
+        let body = json!({
+            "grant": command.action == Action::Grant,
+            "from": command.from,
+            "to": command.to,
+            "hold": grant_ms.to_string(),
+        });
         Request {
             method: Method::POST,
             path: "/order".to_owned(),
