Ignore a renewal that is answered in a later term

Cause: a response to a renewal was applied to whatever term the host was in. A host that is demoted and elected again while a renewal of its earlier term is under way takes the earlier, lower version for that of its record, and the renewal's number, which counts from 1 in each term, drops proposals of voters of the new term: the store may have voters then whose votes it doesn't count.

Change: renewals carry the term; those of another term change nothing, and a renewal never lowers the version.

A response to a renewal of the same term from before a freeze only lets one more renewal start: what is sent before the freeze confirms nothing, and voters go by number.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -147,6 +147,8 @@
     },
     /// Result of a renewal.
     Renewed {
+        /// Term of the granter that sent it.
+        term: Version,
         /// When it was sent.
         sent: Instant,
         /// Number of its proposal of voters.
@@ -473,10 +475,11 @@
             let proposal = elected.voters.propose(&voters);
             elected.last_renewal = now;
             elected.renewing = true;
-            let version = elected.record_version;
+            let (term, version) = (elected.term, elected.record_version);
             let written = voters.clone();
             self.write_record(version, written, predecessors.clone(), move |result| {
                 StoreResponse::Renewed {
+                    term,
                     sent: now,
                     proposal,
                     voters,
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -71,11 +71,12 @@
                 result,
             } => self.on_claimed(sent, expected, result),
             StoreResponse::Renewed {
+                term,
                 sent,
                 proposal,
                 voters,
                 result,
-            } => self.on_renewed(sent, (proposal, voters), result),
+            } => self.on_renewed((term, sent), (proposal, voters), result),
         }
     }
 
@@ -269,17 +270,21 @@
 
     pub(super) fn on_renewed(
         &mut self,
-        sent: Instant,
+        (term, sent): (Version, Instant),
         (proposal, voters): (u64, Vec<String>),
         result: Result<WriteOutcome<Record>, Error>,
     ) {
         let Role::Granting(elected) = &mut self.role else {
             return;
         };
+        if term != elected.term {
+            log::info!("event=term-renewal-outdated term={term}");
+            return;
+        }
         elected.renewing = false;
         match result {
             Ok(WriteOutcome::Applied { version }) => {
-                elected.record_version = version;
+                elected.record_version = elected.record_version.max(version);
                 elected.note_renewed(sent);
                 elected.voters.confirm(proposal, voters);
             }
--- a/crates/edge/tests/election.rs
+++ b/crates/edge/tests/election.rs
@@ -253,6 +253,51 @@
     a_claim_answered_after_a_later_heartbeat_is_void: heartbeat;
 }
 
+/// Guards against a lower version of the record, and other voters than the store has, by a response
+/// to a renewal of an earlier term of the host.
+#[tokio::test]
+async fn a_renewal_answered_in_a_later_term_changes_nothing() {
+    let test = async {
+        let mut peer = Peer::start("later", 7).await;
+        let store = SlowStore::new();
+        let host = Host::start(store.clone());
+        assert!(host.is_granter_within(Duration::from_secs(1)).await);
+        let (term, _) = store.record().await.unwrap();
+        store.delay_writes(Duration::from_secs(2));
+        while store.record().await.unwrap().0 == term {
+            sleep(Duration::from_millis(5)).await;
+        }
+        store.delay_writes(Duration::ZERO);
+        let later = Process {
+            host: "later",
+            incarnation: 7,
+            address: peer.address,
+        };
+        let record_version = store.name_granter(&later, true).await;
+        let address = peer.address;
+        host.receive(Frame::Elected {
+            record_version,
+            address,
+        })
+        .await;
+        sleep(Duration::from_secs(3)).await;
+        host.state.stop.cancel();
+        let mut versions = Vec::new();
+        while let Ok(event) = peer.events.try_recv() {
+            if let Event::Frame {
+                frame: Frame::Heartbeat { record_version, .. },
+                ..
+            } = event
+            {
+                versions.push(record_version);
+            }
+        }
+        assert!(versions.len() > 8 && versions[0] > record_version);
+        assert!(versions.is_sorted(), "{versions:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Process that holds a link to a new granter, and what it says of the process that the granter
 /// replaced, the incarnation 7 of the host `former`.
 struct Claim {
