Take only 400 and 421 for a grant that was not executed

Cause: every 4xx to a grant counted as not executed, so the granter forgot it. Commands carry no identifier.

Change: other 4xx count as unknown. A connection carries a further grant only after 200 or 409, which do not lower the account.

--- a/crates/edge/src/granting/command.rs
+++ b/crates/edge/src/granting/command.rs
@@ -159,7 +159,12 @@
         let (text, broke) = match result {
             Ok(Ok(outcome)) => {
                 sent.set(written_at.or_else(|| Some(state.now())));
-                if command.action == Action::Grant {
+                // A late copy of a refusal must not be taken for the response to a later grant.
+                let executed = matches!(
+                    outcome,
+                    CommandOutcome::Done { .. } | CommandOutcome::StaleFence
+                );
+                if command.action == Action::Grant && executed {
                     connection.recycle(None);
                 }
                 return Ok(outcome);
@@ -216,10 +221,12 @@
                 "event=command-refused server={} status={status}",
                 command.server.id
             );
-            if status.is_client_error() {
-                CommandOutcome::Refused
-            } else {
-                CommandOutcome::Unknown
+            match status {
+                // Malformed, or for another server: the only refusals of a command.
+                StatusCode::BAD_REQUEST | StatusCode::MISDIRECTED_REQUEST => {
+                    CommandOutcome::Refused
+                }
+                _ => CommandOutcome::Unknown,
             }
         }
     })
--- a/crates/edge/tests/commands.rs
+++ b/crates/edge/tests/commands.rs
@@ -259,6 +259,18 @@
     false,
     CommandOutcome::Refused
 );
+classifies!(
+    a_grant_that_a_full_server_refuses,
+    "503 Service Unavailable",
+    true,
+    CommandOutcome::Unknown
+);
+classifies!(
+    a_grant_answered_with_a_status_that_promises_nothing,
+    "404 Not Found",
+    true,
+    CommandOutcome::Unknown
+);
 classifies!(
     a_grant_whose_execution_is_unknown,
     "500 Failed",
@@ -321,3 +333,46 @@
 async fn an_entry_of_an_unnamed_service_takes_no_address() {
     assert_eq!(send_beside_later_entry("unnamed").await, ([true; 2], 2));
 }
+
+/// Guards against a late copy of a refusal that is taken for the response to a later grant.
+#[tokio::test]
+async fn a_connection_that_carried_a_refusal_carries_no_further_grant() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let opened = Arc::new(AtomicUsize::new(0));
+    let counted = opened.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(async move {
+                let mut bytes = [0; 4_096];
+                while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {
+                    let response = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+                    if stream.write_all(response).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let state = state();
+    state.update_server(entry_at("a", address), 1);
+    let pool = command::pool(RESPONSE_TIME);
+    let command = command(Action::Grant, 7);
+    let send_until = Rc::new(Cell::new(state.now() + RESPONSE_TIME * 4));
+    let work = async {
+        for _ in 0..2 {
+            let pending = Pending {
+                command: &command,
+                due_at: state.now(),
+                max_delay: RESPONSE_TIME,
+                response_timeout: RESPONSE_TIME,
+                send_until: &send_until,
+            };
+            let (outcome, _) = command::send(&state, &pool, pending).await;
+            assert_eq!(outcome, CommandOutcome::Refused);
+        }
+    };
+    LocalSet::new().run_until(work).await;
+    assert_eq!(opened.load(Ordering::SeqCst), 2);
+}
