Read a response that waits in the socket before a command is given up

Cause: the timer of a command and the socket's event become ready together when the thread was held up. If the command's task runs first, its response counts as missing although it is there: the outcome is unknown, the connections are closed and the grant is sent again, on the host that lacks processor time already.

Change: when the timeout has passed, three more turns of the event loop. The connection stays open for them; the outcome is reported, and the account counts, after them.

--- a/crates/edge/src/granting/command.rs
+++ b/crates/edge/src/granting/command.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -22,6 +23,10 @@
 /// Most connections for commands to one backend server.
 const MAX_CONNECTIONS: u32 = 6;
 
+/// Turns of the event loop that a response is waited for after its timeout, so that what waits in
+/// the socket is read.
+const LATE_TURNS: u32 = 3;
+
 /// Maximum size of the body of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024;
 
@@ -154,7 +159,7 @@
                 .await
                 .map_err(|text| (None, text))
         };
-        let result = tokio::time::timeout(response_timeout, exchanged).await;
+        let result = within(response_timeout, exchanged).await;
         let written_at = departure.close();
         let (text, broke) = match result {
             Ok(Ok(outcome)) => {
@@ -170,7 +175,7 @@
                 return Ok(outcome);
             }
             Ok(Err((_, text))) => (text, true),
-            Err(_) => ("no response".to_owned(), false),
+            Err(Elapsed) => ("no response".to_owned(), false),
         };
         if written_at.is_some() {
             sent.set(written_at);
@@ -188,6 +193,26 @@
     }
 }
 
+/// A timeout has passed.
+struct Elapsed;
+
+/// Waits for a future until a timeout, and then for [`LATE_TURNS`].
+///
+/// On a host short of processor time, the timer may fire while the response waits in the socket.
+async fn within<F: Future>(timeout: Duration, future: F) -> Result<F::Output, Elapsed> {
+    tokio::pin!(future);
+    if let Ok(output) = tokio::time::timeout(timeout, &mut future).await {
+        return Ok(output);
+    }
+    for _ in 0..LATE_TURNS {
+        tokio::task::yield_now().await;
+        if let Some(output) = (&mut future).now_or_never() {
+            return Ok(output);
+        }
+    }
+    Err(Elapsed)
+}
+
 /// Logs that a grant is not sent, as it is late or another host may be granter.
 fn log_withheld(state: &State, pending: &Pending<'_>, departure: &Departure) {
     let now = state.now();
--- a/crates/edge/tests/late_grants.rs
+++ b/crates/edge/tests/late_grants.rs
@@ -260,3 +260,45 @@
     assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
     assert!(reset < ended + HELD_UP * 2, "{:?} later", reset - ended);
 }
+
+/// Guards against a response that is there, but counts as missing as the process was held up.
+#[test]
+fn a_response_that_is_there_when_the_timeout_fires_late_counts() {
+    let (address, _) = backend();
+    let state = Rc::new(state());
+    state.update_server(entry_at("a", address), 1);
+    let pool = Pool::default();
+    let send_until = Rc::new(Cell::new(state.now() + Duration::from_mins(1)));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let outcomes = LocalSet::new().block_on(&runtime, async {
+        tokio::task::spawn_local(async {
+            loop {
+                thread::sleep(HELD_UP);
+                tokio::task::yield_now().await;
+            }
+        });
+        let mut outcomes = Vec::new();
+        let sending = tokio::task::spawn_local(async move {
+            for _ in 0..20 {
+                let pending = Pending {
+                    command: &grant("a"),
+                    due_at: state.now(),
+                    max_delay: RESPONSE_TIMEOUT,
+                    response_timeout: HELD_UP / 2,
+                    send_until: &send_until,
+                };
+                outcomes.push(command::send(&state, &pool, pending).await.0);
+            }
+            outcomes
+        });
+        sending.await.unwrap()
+    });
+    let done = CommandOutcome::Done { handover: None };
+    assert!(
+        outcomes.iter().all(|outcome| *outcome == done),
+        "{outcomes:?}"
+    );
+}
