Tell backend servers the time that is left when a connection is there

Cause: the deadline header was computed before a connection was acquired.

Change: the header is set once the connection is acquired, again for each connection that is tried.

Evidence: the_forwarded_deadline_leaves_out_the_wait_for_a_connection failed before with "told 4999 ms, 4899 ms were left".

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -214,7 +214,8 @@
         sent: Instant::now(),
         observation: None,
     };
-    let mut outbound = request.outbound(state.platform.headers(), pick, deadline);
+    let names = state.platform.headers();
+    let mut outbound = request.outbound(names, pick);
     loop {
         let mut connection = match state.pool.acquire(&pick.id, pick.addr, need).await {
             Ok(connection) => connection,
@@ -225,6 +226,8 @@
             }
         };
         *used = Some(connection.serial());
+        // The wait for the connection has used up some of the time.
+        set_deadline(outbound.headers_mut(), names, deadline);
         match connection.send(outbound).await {
             Ok(response) => {
                 return receive(state, request, response, connection, &mut guard, deadline).await;
@@ -269,17 +272,13 @@
         }
     }
 
-    /// Builds the HTTP request to the backend server `pick`.
-    fn outbound(&self, names: &Headers, pick: &Pick, deadline: Instant) -> Request<Full<Bytes>> {
+    /// Builds the HTTP request to the backend server `pick`, without its deadline.
+    fn outbound(&self, names: &Headers, pick: &Pick) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
         headers.clone_from(&self.headers);
-        let left = deadline
-            .saturating_duration_since(Instant::now())
-            .as_millis();
-        headers.insert(names.deadline.clone(), header_value(left));
         if let Ok(id) = HeaderValue::from_str(&pick.id) {
             headers.insert(names.expected_server.clone(), id);
         }
@@ -287,8 +286,11 @@
     }
 }
 
-fn header_value(value: u128) -> HeaderValue {
-    HeaderValue::from(u64::try_from(value).unwrap_or(u64::MAX))
+/// Sets the header that tells a backend server how much time is left, in milliseconds.
+fn set_deadline(headers: &mut HeaderMap, names: &Headers, deadline: Instant) {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(names.deadline.clone(), HeaderValue::from(left));
 }
 
 /// Validates and buffers a response, and returns its connection to the pool if it is reusable.
