Deliver a closing response when more requests are unread

Cause: a response that closes its connection, as each does during a stop, was followed by closing the socket at once. If the caller had sent more, its unread bytes made the system reset the connection and discard the part of the response that was still in the send buffer.

Change: after the shutdown of the write side the process reads and drops bytes until the caller closes, for at most 2 s. Idle connections and responses that break off are closed at once, as before.

Evidence: test a_response_that_closes_its_connection_arrives_before_unread_requests (900 kB behind a slow caller, a second request unread) failed before with "Connection reset by peer" within the body. The other tests of tarragon-edge pass, but for the known a_disconnected_caller_is_detected_behind_unread_bytes.

Conclusion: a request that was run is no longer cut by its successors.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -104,14 +105,18 @@
         ended = served.as_mut() => ended,
         () = quiet_after_drain(&state) => {
             served.as_mut().graceful_shutdown();
+            if served.as_mut().now_or_never().is_some() {
+                return; // It was idle.
+            }
             served.await
         }
     };
-    if let Err(error) = ended {
-        log::debug!(
+    match ended {
+        Ok(()) => socket.linger().await,
+        Err(error) => log::debug!(
             "event=caller-disconnected error=\"{}\"",
             pool::error_chain(&error)
-        );
+        ),
     }
 }
 
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -16,6 +16,11 @@
 /// Interval between two checks while unread bytes of further requests hide the end of the stream.
 const POLL_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Maximum time for which a connection that was shut down waits for its caller to close it.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Number of bytes that are discarded at once.
+const DISCARD_BYTES: usize = 4_096;
+
 /// Caller connection whose clones read, write and watch the same socket.
 #[derive(Clone, Debug)]
 pub struct Socket(Rc<TcpStream>);
@@ -41,6 +46,30 @@
             }
         }
     }
+
+    /// Reads and drops bytes until the caller closes the connection, for at most [`LINGER_TIME`].
+    ///
+    /// The system resets a connection that is closed with unread bytes, such as further requests,
+    /// and discards the part of the response that the caller has not received.
+    pub async fn linger(&self) {
+        let mut buffer = vec![0; DISCARD_BYTES];
+        let discard = async {
+            loop {
+                self.0.readable().await?;
+                match self.0.try_read(&mut buffer) {
+                    Ok(0) => return Ok(()),
+                    Ok(_) => {}
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
+            }
+        };
+        match tokio::time::timeout(LINGER_TIME, discard).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::debug!("event=caller-disconnected error=\"{error}\""),
+            Err(_) => log::debug!("event=caller-disconnected error=\"it did not close in time\""),
+        }
+    }
 }
 
 impl AsyncRead for Socket {
--- a/crates/edge/tests/drain.rs
+++ b/crates/edge/tests/drain.rs
@@ -7,14 +7,19 @@
 use std::time::Duration;
 
 use common::router::{Router, answer, header, read_head, with_router};
+use socket2::SockRef;
 use tarragon_dispatch::catalog::Kind;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::sleep;
 
 /// Number of callers.
 const CALLERS: usize = 60;
 /// Time that the backend server takes.
 const WORK: Duration = Duration::from_millis(150);
+/// Bytes of a response that does not fit into the caller's receive buffer.
+const LARGE_BYTES: usize = 900_000;
+/// Bytes of a request that the router leaves unread.
+const UNREAD_BYTES: usize = 100_000;
 /// Time within which every caller must have its response.
 const LIMIT: Duration = Duration::from_secs(4);
 
@@ -32,6 +37,21 @@
         .await;
 }
 
+/// Adds a backend server with a response of [`LARGE_BYTES`].
+async fn add_large_server(router: &Router) {
+    router
+        .add_server("a", |mut stream| async move {
+            while let Some(head) = read_head(&mut stream).await {
+                sleep(WORK).await;
+                let text = answer(&head, &"x".repeat(LARGE_BYTES));
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        })
+        .await;
+}
+
 /// Opens a connection and sends a request without giving the router time to accept it.
 fn send(router: &Router, id: usize) -> TcpStream {
     let mut stream = TcpStream::connect(router.address).unwrap();
@@ -115,3 +135,25 @@
     })
     .await;
 }
+
+/// Guards against a reset that discards the end of a response.
+#[tokio::test]
+async fn a_response_that_closes_its_connection_arrives_before_unread_requests() {
+    with_router(Kind::NonIdempotent, false, async |router| {
+        add_large_server(&router).await;
+        let mut caller = router.connect().await;
+        SockRef::from(&caller.0)
+            .set_recv_buffer_size(65_536)
+            .unwrap();
+        router.state.leaving.cancel();
+        caller.send("first", None, "").await;
+        caller.send("second", None, &"y".repeat(UNREAD_BYTES)).await;
+        sleep(2 * WORK).await;
+        let (status, body) = caller.response().await;
+        assert_eq!((status, body.len()), (200, LARGE_BYTES));
+        let mut rest = Vec::new();
+        caller.0.read_to_end(&mut rest).await.expect("no reset");
+        assert_eq!(rest.len(), 0);
+    })
+    .await;
+}
