Prove that the kernel gives up a grant while the process is held up

Cause: the timer that gives up a grant may fire late on a host short of processor time. That its bytes do not go on leaving the send queue until then rests on TCP_USER_TIMEOUT; no test showed it.

Change: a test. The reader opens its window 1 s after the first byte, while the thread of the granter is held up for 2 s: the rest does not arrive.

Conclusion: shown for a closed window, not for a link that loses packets.

--- a/crates/edge/tests/late_grants.rs
+++ b/crates/edge/tests/late_grants.rs
@@ -302,3 +302,37 @@
         "{outcomes:?}"
     );
 }
+
+/// Guards against bytes of a grant that leave while the process is held up beyond their timeout.
+#[tokio::test]
+async fn the_kernel_gives_up_a_grant_while_the_process_is_held_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (began, beginning) = oneshot::channel();
+    let reader = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut bytes = vec![0; 1 << 20];
+        let mut count = stream.read(&mut bytes[..1]).unwrap();
+        began.send(()).unwrap();
+        thread::sleep(HELD_UP * 10);
+        while let Ok(read @ 1..) = stream.read(&mut bytes) {
+            count += read;
+        }
+        count
+    });
+    let id = "a".repeat(LONG_ID_BYTES);
+    let state = state();
+    state.update_server(entry_at(&id, address), 1);
+    let send_until = Rc::new(Cell::new(state.now() + Duration::from_mins(1)));
+    let pool = command::pool(HELD_UP * 2);
+    let sending = send(&state, &pool, &id, RESPONSE_TIMEOUT, &send_until);
+    let holding = async {
+        beginning.await.unwrap();
+        thread::sleep(HELD_UP * 20);
+    };
+    let both = futures::future::join(sending, holding);
+    let ((outcome, _), ()) = LocalSet::new().run_until(both).await;
+    assert_eq!(outcome, CommandOutcome::Unknown);
+    let received = reader.join().unwrap();
+    assert!(received < LONG_ID_BYTES, "{received} bytes");
+}
