Bring a plan into force only if the store shows no later granter

Cause: a granter whose conditional write of a plan took effect late acted on the plan as soon as it knew of the write, if a majority of its voters still confirmed its term. Another host may have been elected before the write took effect. It has read the plan before and renews its grants, which it may do before it is the only granter. The former granter then frees the moved keys by its own account, which lacks those renewals, and the next holder gets keys that the previous one still holds.

Change: a written plan comes into force only if no other host can have been elected before the write was known, i.e. the store renewed the record with a call that was sent less than CONFIRMATION_TTL before, or has renewed it since. Votes do not count. Until then the plan before stays in force and is renewed, and no further plan is proposed. The same holds for a plan of this term that is found by a read. A claim counts from its sending, not from its response, and so does the first renewal after it. The first plan of a service needs no wait: there was no plan before that another host could have read.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -464,7 +464,8 @@
         let own = process_id(&self.state.settings.host, self.state.incarnation);
         let confirmed = elected.is_confirmed(&own, now);
         elected.drop_blocked_predecessors(&own, now);
-        for (service, update) in elected.grants.tick(confirmed, now) {
+        let exclusive_until = elected.exclusive_until();
+        for (service, update) in elected.grants.tick(confirmed, exclusive_until, now) {
             match update {
                 Update::Map(map) => {
                     self.state.update_key_map(&service, map.clone());
--- a/crates/edge/src/election/elected.rs
+++ b/crates/edge/src/election/elected.rs
@@ -105,6 +105,14 @@
         confirmed
     }
 
+    /// Returns the time before which the store shows that no other host can have been elected.
+    ///
+    /// Another host claims the record [`super::RENEWAL_TIMEOUT`] after a renewal at the earliest;
+    /// the difference leaves a margin for its clock.
+    pub(super) fn exclusive_until(&self) -> Instant {
+        self.last_confirmed + CONFIRMATION_TTL
+    }
+
     /// Notes that the store confirmed a renewal that was sent at `sent`.
     pub(super) fn note_renewed(&mut self, sent: Instant) {
         if sent >= self.resumed_at {
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -244,7 +244,7 @@
             grants,
             term: record_version,
             record_version,
-            last_renewal: now,
+            last_renewal: sent,
             renewing: false,
             last_heartbeat: Instant::ZERO,
             predecessors: predecessors
@@ -254,7 +254,7 @@
                     blocked_since: None,
                 })
                 .collect(),
-            last_confirmed: now,
+            last_confirmed: sent,
             voters: Voters::new(vec![self.own_id()]),
             acknowledged: HashMap::new(),
             max_cores: self.state.settings.cores,
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -133,6 +133,10 @@
     /// Whether the last write of a plan may have taken effect, or may still. Grants under the plan
     /// before are renewed until the store tells.
     write_unresolved: bool,
+    /// Plan of this term that is in the store, and when that was known. It comes into force once no
+    /// other host can have been elected before: one that read the plan before would renew grants
+    /// that this granter does not know of.
+    written: Option<(Plan, Instant)>,
     /// Until when no store call is made after a failure, and the length of that pause.
     backoff: (Instant, Duration),
     loads: Loads,
@@ -159,6 +163,8 @@
     failures: HashMap<String, (Instant, Instant)>,
     /// Until when no other host can be granter; grants are sent only before.
     send_until: Rc<Cell<Instant>>,
+    /// Until when no other host can have been elected. Unlike `send_until`, only the store tells.
+    exclusive_until: Instant,
     delays: delay::Monitor,
 }
 
@@ -185,6 +191,7 @@
             services: BTreeMap::new(),
             failures: HashMap::new(),
             send_until: Rc::new(Cell::new(Instant::ZERO)),
+            exclusive_until: Instant::ZERO,
             delays: delay::Monitor::default(),
         }
     }
@@ -238,8 +245,15 @@
     /// Sends the due commands and updates the plans; returns the key maps that changed.
     ///
     /// Unless the term is `confirmed`, another host may be the granter, and nothing is sent. `now`
-    /// is the time at which that was found, so a pause of the process since delays no grant.
-    pub fn tick(&mut self, confirmed: bool, now: Instant) -> Vec<(String, Update)> {
+    /// is the time at which that was found, so a pause of the process since delays no grant. The
+    /// store showed that no other host can have been elected before `exclusive_until`.
+    pub fn tick(
+        &mut self,
+        confirmed: bool,
+        exclusive_until: Instant,
+        now: Instant,
+    ) -> Vec<(String, Update)> {
+        self.exclusive_until = exclusive_until;
         if !confirmed {
             return Vec::new();
         }
@@ -291,6 +305,7 @@
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
+        service.adopt_written(self.exclusive_until, now);
         let Some(granter) = &mut service.granter else {
             if service.call_pending || now < service.backoff.0 {
                 return;
@@ -485,6 +500,7 @@
             plan_absent: false,
             call_pending: false,
             write_unresolved: false,
+            written: None,
             backoff: (now, Duration::ZERO),
             loads: Loads::new(now),
             speeds: Speeds::default(),
@@ -496,7 +512,10 @@
     }
 
     fn is_plan_due(&self, now: Instant) -> bool {
-        !self.call_pending && now >= self.backoff.0 && now.since(self.last_planned) >= PLAN_INTERVAL
+        !self.call_pending
+            && self.written.is_none()
+            && now >= self.backoff.0
+            && now.since(self.last_planned) >= PLAN_INTERVAL
     }
 
     /// Delays further store calls after a failed one.
--- a/crates/edge/src/granting/plans.rs
+++ b/crates/edge/src/granting/plans.rs
@@ -9,7 +9,7 @@
 use tarragon_store::object::{Key, Version};
 use tarragon_store::update::{WriteOutcome, Writer};
 
-use super::{Completion, Grants, PLAN_KIND, Record, STABLE_TIME, deliver, liveness};
+use super::{Completion, Grants, PLAN_KIND, Record, STABLE_TIME, Service, deliver, liveness};
 
 impl Grants {
     /// Writes the next plan to the store if keys should move.
@@ -110,7 +110,7 @@
         result: Result<Option<(Version, Record)>, Error>,
         now: Instant,
     ) {
-        let timing = self.timing();
+        let (exclusive_until, timing) = (self.exclusive_until, self.timing());
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
@@ -132,7 +132,9 @@
                 service.write_unresolved = false;
                 match &mut service.granter {
                     Some(granter) if granter.plan().sequence == record.plan.sequence => {}
-                    Some(granter) if record.term == self.term => granter.adopt(record.plan, now),
+                    Some(_) if record.term == self.term => {
+                        service.on_applied(name, record.plan, exclusive_until, now);
+                    }
                     granter => {
                         *granter = Some(Granter::new(record.plan, self.sole_granter, timing, now));
                     }
@@ -178,6 +180,7 @@
         now: Instant,
     ) {
         let (sole_granter, timing) = (self.sole_granter, self.timing());
+        let exclusive_until = self.exclusive_until;
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
@@ -193,7 +196,7 @@
                 service.version = version;
                 service.changes += 1;
                 match &mut service.granter {
-                    Some(granter) => granter.adopt(plan, now),
+                    Some(_) => service.on_applied(name, plan, exclusive_until, now),
                     // This is the service's first plan, so no earlier granter has granted anything.
                     None => service.granter = Some(Granter::new(plan, true, timing, now)),
                 }
@@ -203,8 +206,8 @@
                 version,
             }) if record.term == self.term => {
                 service.version = version;
-                if let Some(granter) = &mut service.granter {
-                    granter.adopt(record.plan, now);
+                if service.granter.is_some() {
+                    service.on_applied(name, record.plan, exclusive_until, now);
                 }
                 service.changes += 1;
             }
@@ -226,6 +229,32 @@
     }
 }
 
+impl Service {
+    /// Notes that a plan of this term is in the store, and brings it into force if no other host
+    /// can have been elected by now.
+    fn on_applied(&mut self, name: &str, plan: Plan, exclusive_until: Instant, now: Instant) {
+        let sequence = plan.sequence;
+        self.written = Some((plan, now));
+        self.adopt_written(exclusive_until, now);
+        if self.written.is_some() {
+            log::warn!("event=plan-unconfirmed service={name} sequence={sequence}");
+        }
+    }
+
+    /// Brings a written plan into force if no other host can have been elected before that was
+    /// known.
+    pub(super) fn adopt_written(&mut self, exclusive_until: Instant, now: Instant) {
+        let known_in_time = |(_, known_at): &mut (Plan, Instant)| *known_at < exclusive_until;
+        let Some((plan, _)) = self.written.take_if(known_in_time) else {
+            return;
+        };
+        if let Some(granter) = &mut self.granter {
+            granter.adopt(plan, now);
+            self.changes += 1;
+        }
+    }
+}
+
 fn result_name<T>(result: &Result<WriteOutcome<T>, Error>) -> &'static str {
     match result {
         Ok(WriteOutcome::Applied { .. }) => "won",
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -17,10 +17,14 @@
 use tarragon_edge::platform::{Headers, Platform};
 use tarragon_edge::settings::{Bounds, Settings};
 use tarragon_edge::state::State;
+use tarragon_model::time::Instant;
 use tarragon_owner::granter::{Action, Command};
 use tarragon_store::dialect::{Dialect, Native, Request};
 use tarragon_store::object::{Key, List, Object, Version};
 
+/// Time before which no other host is elected, where the store always confirms the term.
+pub const ALWAYS: Instant = Instant::from_micros(u64::MAX);
+
 /// Platform with minimal catalog, entry and command formats.
 pub struct Plain(Headers);
 
--- a/crates/edge/tests/plans.rs
+++ b/crates/edge/tests/plans.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use common::router::add_holder;
-use common::state;
 use common::store::{Mode, Store};
+use common::{ALWAYS, state};
 use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_edge::granting::Grants;
 use tarragon_edge::state::State;
@@ -41,7 +41,7 @@
     let mut step = async |grants: &mut Grants, time: Duration| {
         let end = tokio::time::Instant::now() + time;
         while tokio::time::Instant::now() < end {
-            for (service, update) in grants.tick(true, state.now()) {
+            for (service, update) in grants.tick(true, ALWAYS, state.now()) {
                 match update {
                     tarragon_edge::granting::Update::Map(map) => {
                         state.update_key_map(&service, map);
--- a/crates/edge/tests/stalled_granter.rs
+++ b/crates/edge/tests/stalled_granter.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use common::store::Store;
-use common::{entry_at, state};
+use common::{ALWAYS, entry_at, state};
 use serde_json::Value;
 use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_dispatch::fleet::Entry;
@@ -127,7 +127,7 @@
     let store = Rc::new(Store::new());
     let mut grants = Grants::new(state.clone(), store, completions, 1, true);
     let mut tick = async |before_send: Duration, before_write: Duration| {
-        let _ = grants.tick(true, state.now());
+        let _ = grants.tick(true, ALWAYS, state.now());
         thread::sleep(before_send);
         // It runs after the tasks that hand commands over, and before those that write them.
         tokio::task::spawn_local(async move { thread::sleep(before_write) });
--- a/crates/edge/tests/terms.rs
+++ b/crates/edge/tests/terms.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use common::router::add_holder;
-use common::state;
 use common::store::Store;
+use common::{ALWAYS, state};
 use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_edge::granting::Grants;
 use tarragon_edge::state::State;
@@ -19,7 +19,7 @@
 async fn next<T>(state: &State, grants: &mut Grants, completed: &mut UnboundedReceiver<T>) -> T {
     let completion = async {
         loop {
-            let _ = grants.tick(true, state.now());
+            let _ = grants.tick(true, ALWAYS, state.now());
             sleep(Duration::from_millis(10)).await;
             if let Ok(completion) = completed.try_recv() {
                 return completion;
@@ -64,14 +64,14 @@
         response = next(&state, &mut grants, &mut completed).await;
     }
     grants = start(3);
-    assert!(grants.tick(true, state.now()).is_empty());
+    assert!(grants.tick(true, ALWAYS, state.now()).is_empty());
     grants.on_completion(response);
-    let acts = !grants.tick(true, state.now()).is_empty();
+    let acts = !grants.tick(true, ALWAYS, state.now()).is_empty();
     assert!(!acts, "the plan may have been replaced since");
     let own = next(&state, &mut grants, &mut completed).await;
     grants.on_completion(own);
     assert!(
-        !grants.tick(true, state.now()).is_empty(),
+        !grants.tick(true, ALWAYS, state.now()).is_empty(),
         "it acts on the plan it read"
     );
 }
@@ -106,7 +106,7 @@
         }
         let now = state.now();
         std::thread::sleep(Duration::from_millis(200));
-        let _ = grants.tick(true, now);
+        let _ = grants.tick(true, ALWAYS, now);
         sleep(Duration::from_millis(200)).await;
         assert_eq!(commands.get(), 0, "another host may be granter by then");
     };
