Close connections whose bytes make up no part of a response

Cause: the HTTP library reads on in one poll while a backend server sends interim responses, before or after the request, or the digits of a chunk size. It keeps none of them, but each costs processor time, and the one thread of the host served nobody else: 12 such requests were enough.

Change: the stream of a pooled connection fails after 128 KiB without a head or a frame of a body.

Evidence: tests answers_without_end, 18 forms of endless answers, 12 requests each, beside requests to a good server. Before: interim_responses, interim_responses_before_a_request and chunk_size failed, a request to the good server got 504 "no answer in time" (route timeout 0.9 s, debug build). The other 15 forms held before: heads, header lines, bodies of any framing, trailers, bytes after an answer and before a request end in 502, 504 or a cut answer, and their connections close.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -18,6 +18,10 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+mod inbound;
+
+use self::inbound::{Inbound, Unused};
+
 /// Body of a request to a backend server.
 pub type Body = Full<Bytes>;
 
@@ -92,6 +96,7 @@
 struct Idle {
     serial: Serial,
     sender: SendRequest<Body>,
+    unused: Unused,
     since: Instant,
     expires: Instant,
 }
@@ -110,6 +115,7 @@
 pub struct Connection {
     serial: Serial,
     sender: Option<SendRequest<Body>>,
+    unused: Unused,
     server: Rc<Server>,
     /// Whether the connection has carried earlier requests.
     pub reused: bool,
@@ -161,6 +167,7 @@
                 return Ok(Connection {
                     serial: idle.serial,
                     sender: Some(idle.sender),
+                    unused: idle.unused,
                     server,
                     reused: true,
                 });
@@ -260,6 +267,8 @@
     set_caller_options(&stream);
     set_unacknowledged_timeout(&stream, unacknowledged_timeout);
     discard_unsent_on_close(&stream);
+    let unused = Unused::default();
+    let stream = Inbound::new(stream, unused.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -274,6 +283,7 @@
     Ok(Connection {
         serial,
         sender: Some(sender),
+        unused,
         server,
         reused: false,
     })
@@ -357,8 +367,12 @@
         let Some(sender) = self.sender.as_mut() else {
             return Err((Some(request), "connection already given back".to_owned()));
         };
+        self.unused.reset();
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.unused.reset();
+                Ok(response)
+            }
             Err(mut error) => {
                 self.sender = None;
                 let text = error_chain(error.error());
@@ -367,6 +381,16 @@
         }
     }
 
+    /// Receives the next frame of the body of a response; `None` at its end.
+    pub async fn next_frame(
+        &self,
+        body: &mut Incoming,
+    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let frame = body.frame().await;
+        self.unused.reset();
+        frame
+    }
+
     /// Limits new connections to the server for a while: it reset this one, which was new.
     pub fn note_reset(&self) {
         let until = Instant::now() + RESET_BACKOFF;
@@ -389,6 +413,7 @@
         self.server.idle.borrow_mut().push(Idle {
             serial: self.serial,
             sender,
+            unused: self.unused,
             since: now,
             expires,
         });
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -329,7 +329,7 @@
     let reuse = connection_reuse(&head.headers);
     let declared_length = head.headers.get(CONTENT_LENGTH).cloned();
     let memory = Reservation::new(Arc::clone(&state.body_memory));
-    let content = match buffer_body(&mut body, memory).await {
+    let content = match buffer_body(&connection, &mut body, memory).await {
         Ok(content) => content,
         Err(text) => {
             guard.finish(AttemptClass::Failed, load, 0);
@@ -386,10 +386,14 @@
 /// Reads a body to its end, or until it exceeds [`MAX_BUFFERED_BYTES`] or the memory that is left.
 ///
 /// The memory stays reserved until the bytes have been written to the caller.
-async fn buffer_body(body: &mut Incoming, mut memory: Reservation) -> Result<Buffered, String> {
+async fn buffer_body(
+    connection: &Connection,
+    body: &mut Incoming,
+    mut memory: Reservation,
+) -> Result<Buffered, String> {
     let mut first = Bytes::new();
     let mut rest = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = connection.next_frame(body).await {
         let frame = frame.map_err(|error| pool::error_chain(&error))?;
         let Ok(data) = frame.into_data() else {
             continue;
@@ -453,13 +457,18 @@
     }
 
     /// Waits for the next frame of a body; `None` at its end.
-    async fn next_frame(&self, body: &mut Incoming) -> Option<Result<Frame<Bytes>, BodyError>> {
-        let failure: BodyError = match tokio::time::timeout_at(self.end, body.frame()).await {
-            Ok(None) => return None,
-            Ok(Some(Ok(frame))) => return Some(Ok(frame)),
-            Ok(Some(Err(error))) => Box::new(error),
-            Err(_) => "the response did not end in time".into(),
-        };
+    async fn next_frame(
+        &self,
+        connection: &Connection,
+        body: &mut Incoming,
+    ) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let failure: BodyError =
+            match tokio::time::timeout_at(self.end, connection.next_frame(body)).await {
+                Ok(None) => return None,
+                Ok(Some(Ok(frame))) => return Some(Ok(frame)),
+                Ok(Some(Err(error))) => Box::new(error),
+                Err(_) => "the response did not end in time".into(),
+            };
         log::warn!(
             "event=response-cut server={} error=\"{failure}\"",
             self.server
@@ -482,7 +491,7 @@
     let first = futures::stream::iter(start.into_iter().map(|part| Ok(Frame::data(part))));
     let rest = futures::stream::unfold(Some((body, connection, limit)), |stream| async move {
         let (mut body, connection, limit) = stream?;
-        let frame = limit.next_frame(&mut body).await?;
+        let frame = limit.next_frame(&connection, &mut body).await?;
         let next = frame.is_ok().then_some((body, connection, limit));
         Some((frame, next))
     });
