Treat a change of protocol as a lost answer

Cause: a 101 from a backend server went to the caller as the final answer and ended its connection. No request asks for another protocol, as the header is not forwarded; the request may have run.

Change: an informational status that arrives as the head of a response is no answer; the caller gets 502.

Evidence: test bytes_after_a_change_of_protocol failed before with "status 101 after 65 bytes".

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -313,6 +313,10 @@
         guard.finish(AttemptClass::Failed, load, 0);
         return Outcome::Unknown("answer to another request".to_owned());
     }
+    if status.is_informational() {
+        guard.finish(AttemptClass::Failed, load, 0);
+        return Outcome::Unknown("no final answer".to_owned());
+    }
     let not_run = head.headers.contains_key(&names.not_run);
     let is_other = status == StatusCode::MISDIRECTED_REQUEST
         && head
--- a/crates/edge/tests/answers_without_end.rs
+++ b/crates/edge/tests/answers_without_end.rs
@@ -196,6 +196,8 @@
     header_value_over_lines: "", "HTTP/1.1 200 OK\r\nx-more: 1\r\n", " 1\r\n", Failed;
     empty_lines: "", "", "\r\n", Failed;
     interim_responses: "", "", "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n", Failed;
+    bytes_after_a_change_of_protocol:
+        "", head!("101 Switching Protocols", "upgrade: x\r\nconnection: upgrade\r\n"), "x", Failed;
     chunk_of_huge_size:
         "", head!("200 OK", "transfer-encoding: chunked\r\n"), "fffffffffffffff\r\n", Cut;
     chunk_size:
