--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -382,8 +382,12 @@
         let Some(sender) = self.sender.as_mut() else {
             return Err((Some(request), "connection already given back".to_owned()));
         };
+        self.control.reset_unused();
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.control.reset_unused();
+                Ok(response)
+            }
             Err(mut error) => {
                 self.sender = None;
                 let text = error_chain(error.error());
@@ -392,6 +396,16 @@
         }
     }
 
+    /// Receives the next frame of the body of a response; `None` at its end.
+    pub async fn next_frame(
+        &self,
+        body: &mut Incoming,
+    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let frame = body.frame().await;
+        self.control.reset_unused();
+        frame
+    }
+
     /// Limits new connections to the server for a while: it reset this one, which was new.
     pub fn note_reset(&self) {
         let until = Instant::now() + RESET_BACKOFF;
--- a/crates/edge/src/pool/stream.rs
+++ b/crates/edge/src/pool/stream.rs
@@ -1,14 +1,23 @@
 //! Socket of a connection, shared by the HTTP library and the exclusive user of the connection.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::MAX_HEAD_BYTES;
+
+/// Maximum number of bytes that are received without a head or a frame of a body: a head, and what
+/// the HTTP library reads before the relay receives the next frame.
+///
+/// The library reads on while a server sends interim responses or the digits of a chunk size, with
+/// neither an end nor a pause for other tasks.
+const MAX_UNUSED_BYTES: usize = 2 * MAX_HEAD_BYTES;
+
 /// Decides at each write whether the bytes of a request may leave.
 ///
 /// The HTTP library writes a request when its task runs, which may be long after the request was
@@ -26,6 +35,8 @@
     /// The socket, until it is closed.
     socket: RefCell<Option<TcpStream>>,
     permit: RefCell<Option<Rc<dyn Permit>>>,
+    /// Number of bytes received since the last head or frame of a body.
+    unused: Cell<usize>,
 }
 
 /// Control of a connection's socket by the user of the connection.
@@ -38,13 +49,19 @@
         *self.0.permit.borrow_mut() = permit;
     }
 
+    /// Notes that the relay received a head or a frame, or that a request begins.
+    pub(super) fn reset_unused(&self) {
+        self.0.unused.set(0);
+    }
+
     /// Closes the socket at once.
     pub(super) fn close(&self) {
         self.0.socket.borrow_mut().take();
     }
 }
 
-/// Socket that writes only what its [`Control`] allows. Dropping it closes the socket.
+/// Socket that writes only what its [`Control`] allows, and fails after too many unused bytes.
+/// Dropping it closes the socket.
 pub(super) struct Stream(Rc<Shared>);
 
 impl Stream {
@@ -52,6 +69,7 @@
         let shared = Rc::new(Shared {
             socket: RefCell::new(Some(socket)),
             permit: RefCell::default(),
+            unused: Cell::new(0),
         });
         (Self(Rc::clone(&shared)), Control(shared))
     }
@@ -99,7 +117,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.with_socket(|socket| socket.poll_read(cx, buffer))
+        let unused = &self.0.unused;
+        if unused.get() > MAX_UNUSED_BYTES {
+            let text = format!("{} bytes that are no response", unused.get());
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+        }
+        let before = buffer.filled().len();
+        ready!(self.with_socket(|socket| socket.poll_read(cx, buffer)))?;
+        unused.set(unused.get() + buffer.filled().len() - before);
+        Poll::Ready(Ok(()))
     }
 }
 
