Never act on a plan of a later granter

Cause: a superseded granter that a majority of its voters still confirmed read its successor's plan and granted keys under it. The successor counts its first plan of a service as free of grants by others ("sole" from the start), and moves the keys later by its own account, which lacks those grants.

Change: a plan of a later term is not loaded. The plan before, if there is one, stays in force; the next read waits for the usual pause after a failed call.

Evidence: a_plan_of_a_later_term_is_not_acted_on failed before with: "assertion failed: superseded.tick(true, ALWAYS, state.now()).is_empty()" (the key map of the plan was published). It passes with the change.

--- a/crates/edge/src/granting/plans.rs
+++ b/crates/edge/src/granting/plans.rs
@@ -116,6 +116,14 @@
         };
         service.call_pending = false;
         match result {
+            // The later granter has no account of grants that this one would send under its plan.
+            Ok(Some((version, record))) if record.term > self.term => {
+                service.back_off(now);
+                log::warn!(
+                    "event=plan-of-later-term service={name} version={version} term={}",
+                    record.term
+                );
+            }
             Ok(Some((version, record))) => {
                 log::info!(
                     "event=plan-loaded service={name} version={version} sequence={} term={} replaces={} sole_granter={}",
--- a/crates/edge/tests/terms.rs
+++ b/crates/edge/tests/terms.rs
@@ -112,3 +112,33 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against grants of a superseded granter under a plan of its successor, which counts on
+/// knowing all of them.
+#[tokio::test]
+async fn a_plan_of_a_later_term_is_not_acted_on() {
+    let test = async {
+        let state = keyed_state();
+        let commands = add_holder(&state, "a").await;
+        let (completions, mut completed) = unbounded_channel();
+        let store = Rc::new(Store::new());
+        let start = |term| {
+            let (state, store, completions) = (state.clone(), store.clone(), completions.clone());
+            Grants::new(state, store, completions, term, false)
+        };
+        let mut successor = start(2);
+        for _ in 0..2 {
+            let response = next(&state, &mut successor, &mut completed).await;
+            successor.on_completion(response);
+        }
+        let mut superseded = start(1);
+        let read = next(&state, &mut superseded, &mut completed).await;
+        superseded.on_completion(read);
+        for _ in 0..10 {
+            assert!(superseded.tick(true, ALWAYS, state.now()).is_empty());
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(commands.get(), 0, "only the successor acts on its plan");
+    };
+    LocalSet::new().run_until(test).await;
+}
