--- a/crates/edge/tests/commands.rs
+++ b/crates/edge/tests/commands.rs
@@ -321,3 +321,64 @@
 async fn an_entry_of_an_unnamed_service_takes_no_address() {
     assert_eq!(send_beside_later_entry("unnamed").await, ([true; 2], 2));
 }
+
+/// Sends one command to a server that answers with `start` and then `part` without end; returns the
+/// outcome after the server's connection has closed.
+async fn endless_response(
+    action: Action,
+    start: &'static str,
+    part: &'static str,
+) -> CommandOutcome {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let state = Rc::new(state());
+    state.update_server(entry_at("a", listener.local_addr().unwrap()), 1);
+    let server = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4_096]).await.unwrap();
+        let mut sent = stream.write_all(start.as_bytes()).await;
+        while sent.is_ok() {
+            sent = stream.write_all(part.repeat(512).as_bytes()).await;
+        }
+    };
+    let sending = async {
+        let command = command(action, 7);
+        let send_until = Cell::new(state.now() + Duration::from_secs(9));
+        let pending = Pending {
+            command: &command,
+            due_at: state.now(),
+            max_delay: RESPONSE_TIME,
+            response_timeout: RESPONSE_TIME,
+            send_until: &send_until,
+        };
+        command::send(&state, &Pool::default(), pending).await.0
+    };
+    let exchange = Box::pin(async { tokio::join!(sending, server).0 });
+    let ended = tokio::time::timeout(RESPONSE_TIME * 2, exchange);
+    LocalSet::new()
+        .run_until(ended)
+        .await
+        .expect("an end in time")
+}
+
+macro_rules! endless_response {
+    ($($name:ident: $action:ident, $start:expr, $part:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let outcome = endless_response(Action::$action, $start, $part).await;
+            assert!(matches!(outcome, CommandOutcome::Unknown), "{outcome:?}");
+        }
+    )*};
+}
+
+const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+endless_response! {
+    a_grant_ends_in_spite_of_interim_responses: Grant, "", INTERIM;
+    a_release_ends_in_spite_of_interim_responses: Release, "", INTERIM;
+    a_grant_ends_in_spite_of_a_head: Grant, "HTTP/1.1 200 OK\r\n", "x-more: 1\r\n";
+    a_release_ends_in_spite_of_a_head: Release, "HTTP/1.1 200 OK\r\n", "x-more: 1\r\n";
+    a_grant_ends_in_spite_of_a_body: Grant, CHUNKED, "1\r\nx\r\n";
+    a_release_ends_in_spite_of_a_body: Release, CHUNKED, "1\r\nx\r\n";
+    a_release_ends_in_spite_of_a_chunk_size: Release, CHUNKED, "0";
+}
