Write a request of a caller soon after its hand-over or not at all

Cause: the deadline that the backend server is told, and the choice of the server, are made when a request is handed to its connection. The connection's task writes it later; on a host short of processor time nothing bounds the gap. A request of which no byte was written counts as not sent also when its connection fails. Conclusion: that this was the cause of the DRAIN on the large site is suspected, not shown.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -19,11 +19,14 @@
 use tarragon_dispatch::fleet::{AttemptClass, Fleet, Load, Observation, Pick};
 use tokio::time::Instant;
 
+use self::handover::Handover;
 use crate::body::Reservation;
 use crate::platform::Headers;
-use crate::pool::{self, Connection, Requirements, Serial};
+use crate::pool::{self, Connection, Permit, Requirements, Serial};
 use crate::state::State;
 
+mod handover;
+
 /// Error that interrupts a response body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 /// Body of a response to a caller.
@@ -229,6 +232,8 @@
         *used = Some(connection.serial());
         // The wait for the connection has used up some of the time.
         set_deadline(outbound.headers_mut(), names, deadline);
+        let handover = Rc::new(Handover::new(deadline));
+        connection.restrict(handover.clone());
         match connection.send(outbound).await {
             Ok(response) => {
                 return receive(state, request, response, connection, &mut guard, deadline).await;
@@ -239,10 +244,18 @@
                 guard.finish(AttemptClass::Unreachable, None, 0);
                 return Outcome::NotSent(text);
             }
+            Err((None, text)) if !handover.allows() => {
+                log::debug!("event=request-not-sent server={} error=\"{text}\"", pick.id);
+                return Outcome::NotSent(text);
+            }
             Err((None, text)) => {
                 if !connection.reused {
                     connection.note_reset();
                 }
+                if !handover.is_written() {
+                    guard.finish(AttemptClass::Unreachable, None, 0);
+                    return Outcome::NotSent(text);
+                }
                 guard.finish(AttemptClass::Failed, None, 0);
                 return Outcome::Unknown(text);
             }
