--- a/crates/edge/tests/election.rs
+++ b/crates/edge/tests/election.rs
@@ -133,6 +133,7 @@
 struct Host {
     state: Rc<State>,
     events: Sender<Event>,
+    cluster: Rc<Cache>,
 }
 
 impl Host {
@@ -141,9 +142,13 @@
         let (events, incoming) = mpsc::channel(16);
         let links = Links::new(state.clone(), events.clone());
         let cluster = Rc::new(Cache::default());
-        let election = election::run(state.clone(), cluster, links, store, incoming);
+        let election = election::run(state.clone(), cluster.clone(), links, store, incoming);
         tokio::task::spawn_local(election);
-        Self { state, events }
+        Self {
+            state,
+            events,
+            cluster,
+        }
     }
 
     async fn receive(&self, frame: Frame) {
@@ -384,3 +389,30 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a copy of the cluster state that counts as recent, as it was read late.
+#[tokio::test]
+async fn a_heartbeat_that_waits_in_the_host_ages() {
+    const STALL: Duration = Duration::from_millis(1_500);
+    let test = async {
+        let store = SlowStore::new();
+        let granter = Process {
+            host: "granter",
+            incarnation: 7,
+            address: address(),
+        };
+        let version = store.name_granter(&granter, false).await;
+        let host = Host::start(store.clone());
+        host.receive(heartbeat(version)).await;
+        sleep(Duration::from_millis(60)).await;
+        let fresh = host.cluster.age(host.state.now());
+        assert!(fresh < STALL / 2, "{fresh:?}");
+        host.receive(heartbeat(version)).await;
+        std::thread::sleep(STALL);
+        sleep(Duration::from_millis(60)).await;
+        host.state.stop.cancel();
+        let age = host.cluster.age(host.state.now());
+        assert!(age >= STALL, "{age:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
