Correct comments that the review stopped at

Cause: the documentation did not build (a public comment linked to a private constant), and five comments said less or other than the code does. Evidence: formatter, linter and documentation pass. Conclusion: no code changes.

--- a/crates/edge/src/granting/departure.rs
+++ b/crates/edge/src/granting/departure.rs
@@ -36,7 +36,7 @@
         }
     }
 
-    /// Returns whether the time has passed in which the command may be sent.
+    /// Returns whether the command must not be sent: it is late, or another host may be granter.
     pub(super) fn is_withheld(&self) -> bool {
         let now = self.clock.now();
         self.action == Action::Grant && (now > self.latest || !self.is_confirmed(now))
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Reads and drops bytes until the caller closes the connection, for at most [`LINGER_TIME`].
+    /// Reads and drops bytes until the caller closes the connection, for at most 2 s.
     ///
     /// The system resets a connection that is closed with unread bytes, such as further requests,
     /// and discards the part of the response that the caller has not received.
--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -84,7 +84,7 @@
 /// Command to a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Command {
-    /// Identifies the command among all of a process.
+    /// Identifies the command among those for one service by one process.
     pub number: u64,
     /// What the server is asked to do.
     pub action: Action,
@@ -193,7 +193,8 @@
             states,
             sole_since: sole.then_some(now),
             freed: Vec::new(),
-            // Numbers that an earlier granter of this process used are lower.
+            // An earlier granter of this process used lower numbers: it gave out fewer than one in a
+            // microsecond.
             next_number: now.as_micros(),
             seeded_fault: SeededFault::None,
             stepped_down: false,
--- a/crates/owner/src/granter/segment.rs
+++ b/crates/owner/src/granter/segment.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Returns whether a server may hold the keys, or may be granted them next.
+    /// Returns whether a server is assigned the keys, or still has to give them up.
     fn may_be_held_by(&self, server_id: &str) -> bool {
         self.segment.holder.id == server_id || self.holder_to_revoke().holder.id == server_id
     }
@@ -281,7 +281,7 @@
         if found || !self.overlaps(grant) || seeded_fault == SeededFault::DropLateOutcome {
             return;
         }
-        // The grant of an earlier granter of this process.
+        // An earlier granter of this process sent it, or the keys have been freed since.
         let Some(arrived_at) = arrived_at else {
             return;
         };
