Share the keyed service of the tests of grants

Change: keyed_state and add_keyed_service in tests/common; no assertion changes. Conclusion: tests only.

--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use http::{HeaderName, Method};
 use serde_json::{Value, json};
 use tarragon_dispatch::budget;
-use tarragon_dispatch::catalog::Catalog;
+use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_dispatch::fleet::{Entry, Load};
 use tarragon_edge::platform::{Headers, Platform};
 use tarragon_edge::settings::{Bounds, Settings};
@@ -103,6 +103,28 @@
     state_of(Box::new(Plain::new()))
 }
 
+/// Returns the state of a host whose catalog names one service, `s`, which is divided by key.
+pub fn keyed_state() -> State {
+    let state = state();
+    add_keyed_service(&state);
+    state
+}
+
+/// Applies a catalog that names one service, `s`, which is divided by key.
+pub fn add_keyed_service(state: &State) {
+    let service = Service {
+        name: "s".to_owned(),
+        connections: 100,
+        keyed: true,
+    };
+    let catalog = Catalog {
+        version: 1,
+        services: vec![service],
+        ..Catalog::default()
+    };
+    state.apply_catalog(catalog, 1);
+}
+
 /// Like [`state`], on a platform.
 pub fn state_of(platform: Box<dyn Platform>) -> State {
     let local = || "127.0.0.1:0".parse().unwrap();
--- a/crates/edge/tests/failed_tasks.rs
+++ b/crates/edge/tests/failed_tasks.rs
@@ -10,9 +10,9 @@
 
 use common::router::add_holder;
 use common::store::Store;
-use common::{ALWAYS, Plain, entry_at, state_of};
+use common::{ALWAYS, Plain, add_keyed_service, entry_at, state_of};
 use serde_json::Value;
-use tarragon_dispatch::catalog::{Catalog, Service};
+use tarragon_dispatch::catalog::Catalog;
 use tarragon_dispatch::fleet::{Entry, Load};
 use tarragon_edge::granting::Grants;
 use tarragon_edge::platform::{Headers, Platform};
@@ -80,17 +80,7 @@
         armed: armed.clone(),
     };
     let state = Rc::new(state_of(Box::new(platform)));
-    let service = Service {
-        name: "s".to_owned(),
-        connections: 100,
-        keyed: true,
-    };
-    let catalog = Catalog {
-        version: 1,
-        services: vec![service],
-        ..Catalog::default()
-    };
-    state.apply_catalog(catalog, 1);
+    add_keyed_service(&state);
     let first = add_holder(&state, "first").await;
     let (completions, mut completed) = unbounded_channel();
     let store = Rc::new(Store::new());
--- a/crates/edge/tests/late_writes.rs
+++ b/crates/edge/tests/late_writes.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use common::keyed_state;
 use common::router::add_holder;
-use common::state;
 use common::store::{Mode, Store};
-use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_edge::granting::Grants;
 use tarragon_model::time::Instant;
 use tokio::sync::mpsc::unbounded_channel;
@@ -18,17 +17,7 @@
 /// Lets a plan that moves keys be written while the store does not confirm the term. If it is
 /// `answered`, the store tells so in response to the write, otherwise to a later read.
 async fn write_unconfirmed(answered: bool) {
-    let state = Rc::new(state());
-    let catalog = Catalog {
-        version: 1,
-        services: vec![Service {
-            name: "s".to_owned(),
-            connections: 100,
-            keyed: true,
-        }],
-        ..Catalog::default()
-    };
-    state.apply_catalog(catalog, 1);
+    let state = Rc::new(keyed_state());
     let store = Rc::new(Store::new());
     let first = add_holder(&state, "a").await;
     let (completions, mut completed) = unbounded_channel();
--- a/crates/edge/tests/leaving.rs
+++ b/crates/edge/tests/leaving.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use common::keyed_state;
 use common::router::add_holder;
-use common::state;
 use common::store::{Mode, Store};
-use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_edge::cluster::{self, Cache};
 use tarragon_edge::election;
 use tarragon_edge::peer::Links;
@@ -19,17 +18,7 @@
 /// Runs a granter that receives the stop signal, while the store is away if `away`; returns how
 /// many grants it renews during the three seconds from one second later on.
 async fn renewals_after_stop(away: bool) -> u32 {
-    let state = Rc::new(state());
-    let catalog = Catalog {
-        version: 1,
-        services: vec![Service {
-            name: "s".to_owned(),
-            connections: 100,
-            keyed: true,
-        }],
-        ..Catalog::default()
-    };
-    state.apply_catalog(catalog, 1);
+    let state = Rc::new(keyed_state());
     let store = Rc::new(Store::new());
     let cluster = Rc::new(Cache::default());
     let (events, incoming) = mpsc::channel(16);
--- a/crates/edge/tests/plans.rs
+++ b/crates/edge/tests/plans.rs
@@ -7,8 +7,7 @@
 
 use common::router::add_holder;
 use common::store::{Mode, Store};
-use common::{ALWAYS, state};
-use tarragon_dispatch::catalog::{Catalog, Service};
+use common::{ALWAYS, keyed_state};
 use tarragon_edge::granting::Grants;
 use tarragon_edge::state::State;
 use tokio::sync::mpsc::unbounded_channel;
@@ -23,17 +22,7 @@
 }
 
 async fn run(applies: bool) {
-    let state = Rc::new(state());
-    let catalog = Catalog {
-        version: 1,
-        services: vec![Service {
-            name: "s".to_owned(),
-            connections: 100,
-            keyed: true,
-        }],
-        ..Catalog::default()
-    };
-    state.apply_catalog(catalog, 1);
+    let state = Rc::new(keyed_state());
     let api = Rc::new(Store::new());
     let first = add_holder(&state, "a").await;
     let (completions, mut completed) = unbounded_channel();
--- a/crates/edge/tests/stalled_granter.rs
+++ b/crates/edge/tests/stalled_granter.rs
@@ -10,12 +10,10 @@
 use std::time::{Duration, Instant};
 
 use common::store::Store;
-use common::{ALWAYS, entry_at, state};
+use common::{ALWAYS, entry_at, keyed_state};
 use serde_json::Value;
-use tarragon_dispatch::catalog::{Catalog, Service};
 use tarragon_dispatch::fleet::Entry;
 use tarragon_edge::granting::Grants;
-use tarragon_edge::state::State;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::LocalSet;
 
@@ -96,22 +94,6 @@
     }
 }
 
-fn keyed_state() -> Rc<State> {
-    let state = state();
-    let service = Service {
-        name: "s".to_owned(),
-        connections: 100,
-        keyed: true,
-    };
-    let catalog = Catalog {
-        version: 1,
-        services: vec![service],
-        ..Catalog::default()
-    };
-    state.apply_catalog(catalog, 1);
-    Rc::new(state)
-}
-
 /// Guards against a second holder of keys whose first one got a grant late, from a stalled process.
 #[tokio::test]
 async fn keys_of_a_stalled_granter_have_one_holder() {
@@ -119,7 +101,7 @@
 }
 
 async fn move_keys_after_a_stall() {
-    let state = keyed_state();
+    let state = Rc::new(keyed_state());
     let (first_address, first) = backend();
     let (second_address, second) = backend();
     state.update_server(entry_at("first", first_address), 1);
--- a/crates/edge/tests/terms.rs
+++ b/crates/edge/tests/terms.rs
@@ -7,8 +7,7 @@
 
 use common::router::add_holder;
 use common::store::Store;
-use common::{ALWAYS, state};
-use tarragon_dispatch::catalog::{Catalog, Service};
+use common::{ALWAYS, keyed_state};
 use tarragon_edge::granting::Grants;
 use tarragon_edge::state::State;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -30,24 +29,9 @@
     completion.expect("a completion")
 }
 
-fn keyed_state() -> Rc<State> {
-    let state = state();
-    let catalog = Catalog {
-        version: 1,
-        services: vec![Service {
-            name: "s".to_owned(),
-            connections: 100,
-            keyed: true,
-        }],
-        ..Catalog::default()
-    };
-    state.apply_catalog(catalog, 1);
-    Rc::new(state)
-}
-
 /// Delivers the response to a call about the plan, a read or a write, in the term after.
 async fn response_in_the_next_term(is_read: bool) {
-    let state = keyed_state();
+    let state = Rc::new(keyed_state());
     let store = Rc::new(Store::new());
     add_holder(&state, "a").await;
     let (completions, mut completed) = unbounded_channel();
@@ -95,7 +79,7 @@
 #[tokio::test]
 async fn a_tick_that_is_held_up_sends_no_grant() {
     let test = async {
-        let state = keyed_state();
+        let state = Rc::new(keyed_state());
         let commands = add_holder(&state, "a").await;
         let (completions, mut completed) = unbounded_channel();
         let store = Rc::new(Store::new());
@@ -118,7 +102,7 @@
 #[tokio::test]
 async fn a_plan_of_a_later_term_is_not_acted_on() {
     let test = async {
-        let state = keyed_state();
+        let state = Rc::new(keyed_state());
         let commands = add_holder(&state, "a").await;
         let (completions, mut completed) = unbounded_channel();
         let store = Rc::new(Store::new());
