Restrict requests to the home regions of their route

A route with `home-regions` could be served in any region, since nothing read the field. The choice of a server and the lookup of a key's holder now pass over servers outside; a request that waits while the catalog changes obeys both versions. A malformed list allows no region.

The bounds and rates of cold servers and of evacuations are parsed too; no decision uses them yet. Waiting for a holder and choosing a server move out of routed.rs.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -4,6 +4,9 @@
 
 use smallvec::SmallVec;
 
+use crate::homes::Homes;
+use crate::warmup;
+
 /// One version of the operators' configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
@@ -28,6 +31,8 @@
     pub field: &'static str,
     /// The value.
     pub value: String,
+    /// What the router takes in its place.
+    pub handled_as: &'static str,
 }
 
 impl Catalog {
@@ -59,6 +64,8 @@
     pub targets: SmallVec<[Target; 2]>,
     /// Maximum number of backend servers that one request is sent to.
     pub attempts: u32,
+    /// Regions whose backend servers may process the requests.
+    pub homes: Homes,
 }
 
 /// What may be done with a request whose outcome is unknown.
@@ -107,6 +114,8 @@
     pub connections: u32,
     /// Whether every key is held exclusively by one backend server.
     pub keyed: bool,
+    /// Load that a cold backend server bears; `None` if it bears any load.
+    pub warmup: Option<warmup::Rate>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -6,6 +6,8 @@
 
 use tarragon_model::time::Instant;
 
+use crate::homes::Homes;
+
 mod estimate;
 mod server;
 
@@ -61,6 +63,8 @@
 pub struct Criteria<'a> {
     /// Service that processes the request.
     pub service: &'a str,
+    /// Regions whose backend servers may process it.
+    pub homes: &'a Homes,
     /// Backend servers that the request was sent to before.
     pub tried: &'a [String],
     /// Time for which its caller still waits.
@@ -398,10 +402,7 @@
             .unwrap_or_default();
         let mut best: Option<(f64, f64, &Server)> = None;
         for server in self.servers.values() {
-            if server.entry.service != criteria.service || server.status != Status::Ready {
-                continue;
-            }
-            if server.superseded || server.is_denied(now) || server.estimate.is_blocked(now) {
+            if !self.is_eligible(server, criteria, now) {
                 continue;
             }
             let untried = !criteria.tried.contains(&server.entry.id);
@@ -443,6 +444,22 @@
         Ok(server.pick())
     }
 
+    /// Returns whether a request may be sent to a server.
+    fn is_eligible(&self, server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
+        server.entry.service == criteria.service
+            && server.status == Status::Ready
+            && !server.superseded
+            && !server.is_denied(now)
+            && !server.estimate.is_blocked(now)
+            && criteria.homes.allow(self.region(&server.entry.zone))
+    }
+
+    /// Returns the region of a failure domain, if it is known.
+    #[must_use]
+    pub fn region(&self, zone: &str) -> Option<&str> {
+        self.location.regions.get(zone).map(String::as_str)
+    }
+
     /// Returns the time after which to retry if the only server that can process a request would
     /// respond too late, `None` otherwise.
     #[must_use]
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod catalog;
 pub mod denial;
 pub mod fleet;
+pub mod homes;
 pub mod poison;
 pub mod table;
+pub mod warmup;
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -8,10 +8,13 @@
     AttemptClass, Change, Criteria, EXPIRED_ENTRY_GRACE, Entry, Fleet, Load, Location, Observation,
     Refusal, Status,
 };
+use tarragon_dispatch::homes::Homes;
 use tarragon_model::time::Instant;
 
 const NOW: Instant = Instant::from_millis(100_000);
 
+static ANYWHERE: Homes = Homes::anywhere();
+
 fn fleet() -> Fleet {
     let regions = [("a1", "a"), ("a2", "a"), ("b1", "b")];
     let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
@@ -39,6 +42,7 @@
 fn criteria(tried: &[String]) -> Criteria<'_> {
     Criteria {
         service: "s",
+        homes: &ANYWHERE,
         tried,
         remaining: Duration::from_secs(1),
         objective: Duration::from_millis(500),
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -6,6 +6,7 @@
 use smallvec::smallvec;
 use tarragon_dispatch::budget::{Bound, Budget};
 use tarragon_dispatch::catalog::{Catalog, Kind, Route, Target};
+use tarragon_dispatch::homes::Homes;
 use tarragon_dispatch::poison::{QUARANTINE_CRASHES, Quarantine};
 use tarragon_dispatch::table::Table;
 use tarragon_model::time::Instant;
@@ -79,6 +80,7 @@
             weight: 1,
         }],
         attempts: 2,
+        homes: Homes::anywhere(),
     }
 }
 
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -6,9 +6,10 @@
 
 use http::StatusCode;
 use smallvec::SmallVec;
-use tarragon_dispatch::catalog::{Kind, Route};
-use tarragon_dispatch::denial::{Claim, Verdict};
-use tarragon_dispatch::fleet::{Criteria, Pick, Refusal};
+use tarragon_dispatch::catalog::Route;
+use tarragon_dispatch::denial::Claim;
+use tarragon_dispatch::fleet::Pick;
+use tarragon_dispatch::homes::Homes;
 use tarragon_dispatch::poison::Fingerprint;
 use tarragon_dispatch::table;
 use tokio::time::Instant;
@@ -16,12 +17,12 @@
 use crate::relay::{self, Answered, Attempt, CallerRequest, Outcome, ServerResponse};
 use crate::state::State;
 
+mod choice;
 mod failure;
+mod holder;
 
 pub use self::failure::{DEFAULT_RETRY_AFTER, Failure, STOPPING};
 
-/// Fraction of the remaining time for which a request waits for a holder of its key.
-const KEY_WAIT_FRACTION: f64 = 0.4;
 /// Pause before a keyed request is retried, cut short when a key map or a backend server changes.
 const KEY_RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Maximum number of sends of one request, including those that did not run it.
@@ -38,6 +39,9 @@
     state: &'a State,
     route: &'a Route,
     service: &'a str,
+    homes: Homes,
+    /// Revision of the catalog that `homes` takes into account.
+    homes_revision: u64,
     content: CallerRequest,
     key: Option<u16>,
     fingerprint: Fingerprint,
@@ -93,29 +97,6 @@
     }
 }
 
-/// What a host knows of the holder of a key.
-#[derive(Default)]
-struct Found {
-    /// `None` if there is no holder that accepts requests.
-    holder: Option<Holder>,
-    /// Version of the key map.
-    version: (u64, u64),
-    /// Age of the key map, in milliseconds.
-    age_ms: u128,
-}
-
-/// Holder of a key by the key map.
-enum Holder {
-    /// It accepts requests.
-    Ready(Target),
-    /// It denied holding the key lately; the next holder is expected within this time.
-    Leaving(Duration),
-    /// It denied holding the key, and there is no news of another holder.
-    Denied,
-    /// Several attempts to reach it failed.
-    Unreachable,
-}
-
 /// Next step of a request after one send.
 enum Next {
     Done(ServerResponse),
@@ -148,6 +129,8 @@
             state,
             route: &entry.route,
             service,
+            homes: entry.route.homes.clone(),
+            homes_revision: state.catalog_revision(),
             content,
             key,
             fingerprint,
@@ -220,6 +203,7 @@
         }
         state.with_budget(self.service, |budget| budget.record_request(state.now()));
         loop {
+            self.update_homes();
             let target = match keyed {
                 Some(key) => self.wait_for_holder(key).await?,
                 None => Target::any(self.select_server()?),
@@ -357,129 +341,6 @@
         );
     }
 
-    /// Selects one of the backend servers of the service.
-    fn select_server(&self) -> Result<Pick, Failure> {
-        let state = self.state;
-        let fleet = state.fleet.borrow();
-        let max_idle = self.content.max_idle();
-        let has_idle = |id: &str| state.pool.has_idle(id, max_idle);
-        let picked = fleet.pick(&self.criteria(), &has_idle, state.now());
-        picked.map_err(|refusal| match refusal {
-            Refusal::NoServer => self.failure("no backend server", DEFAULT_RETRY_AFTER),
-            Refusal::Overloaded(after) => self.failure("all backend servers are full", after),
-        })
-    }
-
-    fn criteria(&self) -> Criteria<'_> {
-        Criteria {
-            service: self.service,
-            tried: &self.tried,
-            remaining: self.time_left(),
-            objective: self.route.objective.saturating_sub(self.started.elapsed()),
-            priority: self.route.priority,
-            large_response: self.route.kind == Kind::Download,
-            request_bytes: self.content.body.len(),
-            random: rand::random(),
-        }
-    }
-
-    /// Waits until the key has a holder that accepts requests.
-    async fn wait_for_holder(&mut self, key: u16) -> Result<Target, Failure> {
-        let state = self.state;
-        let deadline = Instant::now() + self.time_left().mul_f64(KEY_WAIT_FRACTION);
-        loop {
-            let changed = state.keys_changed.notified();
-            let found = self.find_holder(key);
-            let wake = match found.holder {
-                Some(Holder::Ready(target)) => {
-                    self.trace_keys(found.version, found.age_ms);
-                    return self.admit(target);
-                }
-                Some(Holder::Unreachable) => {
-                    self.trace_keys(found.version, found.age_ms);
-                    let reason = "the key's backend server is unreachable";
-                    return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
-                }
-                Some(Holder::Denied) => {
-                    self.trace_keys(found.version, found.age_ms);
-                    let reason = "the key's backend server does not hold it";
-                    return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
-                }
-                Some(Holder::Leaving(time)) => deadline.min(Instant::now() + time),
-                None => deadline,
-            };
-            let waited = tokio::time::timeout_at(wake, changed).await;
-            if waited.is_err() && Instant::now() >= deadline {
-                self.trace_keys(found.version, found.age_ms);
-                return Err(self.failure("nobody holds the key", DEFAULT_RETRY_AFTER));
-            }
-        }
-    }
-
-    fn trace_keys(&mut self, (term, change): (u64, u64), age_ms: u128) {
-        append(
-            &mut self.trace,
-            format_args!(" keys={term}.{change} keys_age_ms={age_ms}"),
-        );
-    }
-
-    /// Refuses a request that was not sent yet if the holder of its key is too full.
-    fn admit(&self, target: Target) -> Result<Target, Failure> {
-        let state = self.state;
-        let fleet = state.fleet.borrow();
-        match fleet.retry_after(&target.pick.id, &self.criteria(), state.now()) {
-            Some(after) if self.sends == 0 => {
-                Err(self.failure("the key's backend server is full", after))
-            }
-            _ => Ok(target),
-        }
-    }
-
-    /// Returns what this host knows of the holder of a key.
-    fn find_holder(&self, key: u16) -> Found {
-        let state = self.state;
-        let now = state.now();
-        let found = state.with_key_map(self.service, |known| {
-            let range = known.map.find(key).filter(|range| range.held);
-            let age = now.since(known.received_at).as_millis();
-            (range.cloned(), known.map.version, age)
-        });
-        let Some((range, version, age_ms)) = found else {
-            return Found::default();
-        };
-        let holder = range.and_then(|range| {
-            let fleet = state.fleet.borrow();
-            let server = fleet.get(&range.holder.id)?;
-            let same = server.entry.start_ms == range.holder.start_ms;
-            if !same || !server.accepts_keyed(state.bounds.get().drain, now) {
-                return None;
-            }
-            if server.is_denied(now) {
-                return Some(Holder::Denied);
-            }
-            if server.is_unreachable(now) {
-                return Some(Holder::Unreachable);
-            }
-            let target = Target {
-                pick: server.pick(),
-                range_to: Some(range.to),
-            };
-            let claim = target.claim(self.service, range.to);
-            let denied_before = self.denied_by.contains(&target.pick.id);
-            let verdict = state.denials.borrow_mut().check(&claim, denied_before, now);
-            Some(match verdict {
-                Verdict::Send => Holder::Ready(target),
-                Verdict::Wait(until) => Holder::Leaving(until.since(now)),
-                Verdict::Refuse => Holder::Denied,
-            })
-        });
-        Found {
-            holder,
-            version,
-            age_ms,
-        }
-    }
-
     /// Returns a refusal: not run if no send can have run the request, unknown otherwise.
     fn failure(&self, reason: &'static str, after: Duration) -> Failure {
         if self.unknown_sends > 0 {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tarragon_dispatch::budget;
+use tarragon_dispatch::{budget, warmup};
 
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq)]
@@ -50,4 +50,9 @@
     pub max_grant: Duration,
     /// Limit on retries, shared by all hosts.
     pub retries: budget::Bound,
+    /// Limit on the requests to a cold backend server, shared by all hosts; `None` if there is none.
+    pub warmup: Option<warmup::Bound>,
+    /// Time after which no request may reach the backend servers of a zone that is being emptied;
+    /// `None` if the platform empties no zones.
+    pub evacuation: Option<Duration>,
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -157,10 +157,11 @@
         );
         for unknown in &catalog.unknown {
             log::warn!(
-                "event=catalog-value-unknown route={} field={} value={:?} revision={revision} handled_as=non-idempotent",
+                "event=catalog-value-unknown route={} field={} value={:?} revision={revision} handled_as={}",
                 unknown.route,
                 unknown.field,
-                unknown.value
+                unknown.value,
+                unknown.handled_as
             );
         }
         self.metrics.count_state_change("catalog");
--- a/crates/edge/tests/commands.rs
+++ b/crates/edge/tests/commands.rs
@@ -289,6 +289,7 @@
         name: name.to_owned(),
         connections: 100,
         keyed: true,
+        warmup: None,
     });
     let catalog = Catalog {
         version: 1,
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -116,6 +116,7 @@
         name: "s".to_owned(),
         connections: 100,
         keyed: true,
+        warmup: None,
     };
     let catalog = Catalog {
         version: 1,
@@ -150,6 +151,8 @@
                 slack: 10.0,
                 window: Duration::from_secs(10),
             },
+            warmup: None,
+            evacuation: None,
         },
     };
     State::new(settings, platform, 1)
--- a/crates/edge/tests/common/router.rs
+++ b/crates/edge/tests/common/router.rs
@@ -8,6 +8,7 @@
 
 use smallvec::smallvec;
 use tarragon_dispatch::catalog::{Catalog, Kind, Limits, Route, Service, Target};
+use tarragon_dispatch::homes::Homes;
 use tarragon_edge::front;
 use tarragon_edge::keys::{Map, Range};
 use tarragon_edge::state::State;
@@ -65,11 +66,13 @@
                 weight: 1,
             }],
             attempts: 3,
+            homes: Homes::anywhere(),
         }],
         services: vec![Service {
             name: "s".to_owned(),
             connections: 100,
             keyed,
+            warmup: None,
         }],
         limits: Limits::default(),
         unknown: Vec::new(),
