--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -41,6 +41,24 @@
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
     }
+
+    /// Returns the regions that all routes to a service allow. Only a backend server there can
+    /// process every request for a key that it holds.
+    ///
+    /// ```
+    /// use tarragon_dispatch::catalog::Catalog;
+    /// use tarragon_dispatch::homes::Homes;
+    ///
+    /// assert_eq!(Catalog::default().homes("orders"), Homes::anywhere());
+    /// ```
+    #[must_use]
+    pub fn homes(&self, service: &str) -> Homes {
+        let leads_there = |route: &&Route| route.targets.iter().any(|t| t.service == service);
+        let routes = self.routes.iter().filter(leads_there);
+        routes.fold(Homes::anywhere(), |homes, route| {
+            homes.intersection(&route.homes)
+        })
+    }
 }
 
 /// Requests with a common host and path prefix, and how they are handled.
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -167,6 +167,9 @@
         elapsed.as_millis()
     );
     state.metrics.count_request(outcome, elapsed.as_secs_f64());
+    if outcome != "answered" {
+        state.metrics.count_refusal(reason);
+    }
     response
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,6 +15,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
+    refusals: Counter<u64>,
     duration: Histogram<f64>,
     sends: Counter<u64>,
     commands: Counter<u64>,
@@ -56,6 +57,7 @@
         };
         Self {
             requests: meter.u64_counter("tarragon.edge.requests").build(),
+            refusals: meter.u64_counter("tarragon.edge.refusals").build(),
             duration: meter
                 .f64_histogram("http.server.request.duration")
                 .with_unit("s")
@@ -83,6 +85,11 @@
         self.duration.record(seconds, &labels);
     }
 
+    /// Counts a request that this host answered itself, by the reason.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts one send of a request to a backend server, by its result.
     pub fn count_send(&self, result: &'static str) {
         self.sends.add(1, &[KeyValue::new("result", result)]);
--- a/crates/edge/src/routed/choice.rs
+++ b/crates/edge/src/routed/choice.rs
@@ -14,6 +14,9 @@
         let has_idle = |id: &str| state.pool.has_idle(id, max_idle);
         let picked = fleet.pick(&self.criteria(), &has_idle, state.now());
         picked.map_err(|refusal| match refusal {
+            Refusal::NoServer if self.homes.regions().is_some() => {
+                self.failure("no backend server in a home region", DEFAULT_RETRY_AFTER)
+            }
             Refusal::NoServer => self.failure("no backend server", DEFAULT_RETRY_AFTER),
             Refusal::Overloaded(after) => self.failure("all backend servers are full", after),
         })
