Pass over the servers of zones under evacuation

Cause: nothing kept requests away from the servers of a zone that the operators empty.

Change: `Fleet` knows the zones under evacuation, by `evacuation::Zones` (revision, and since when this host may have known). The choice of a server passes over them at once. The granter no longer counts these servers as candidates, so it moves their keys with their handover. A request that waited for a connection is checked again as its first bytes are written. Without the bound in the settings nothing is checked. No host learns of an evacuation yet.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -6,9 +6,11 @@
 
 use tarragon_model::time::Instant;
 
+use crate::evacuation;
 use crate::homes::Homes;
 
 mod estimate;
+mod evacuated;
 mod server;
 
 use self::estimate::Estimate;
@@ -150,6 +152,7 @@
     services: BTreeSet<String>,
     baselines: HashMap<String, estimate::Baseline>,
     lag: Duration,
+    evacuation: evacuation::Zones,
 }
 
 impl Fleet {
@@ -162,6 +165,7 @@
             services: BTreeSet::new(),
             baselines: HashMap::new(),
             lag: Duration::ZERO,
+            evacuation: evacuation::Zones::default(),
         }
     }
 
@@ -452,6 +456,7 @@
             && !server.is_denied(now)
             && !server.estimate.is_blocked(now)
             && criteria.homes.allow(self.region(&server.entry.zone))
+            && self.may_receive(server, false, now)
     }
 
     /// Returns the region of a failure domain, if it is known.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod denial;
+pub mod evacuation;
 pub mod fleet;
 pub mod homes;
 pub mod poison;
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -346,7 +346,7 @@
         let fleet = self.state.fleet.borrow();
         let servers = fleet.iter().filter(|server| {
             server.entry.service == name
-                && server.accepts_keys()
+                && fleet.accepts_keys(server)
                 && !self.is_unreachable(&server.entry.id, now)
         });
         let speeds = self.services.get(name).map(|service| &service.speeds);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod edit;
 pub mod election;
+pub mod evacuation;
 pub mod front;
 pub mod granting;
 pub mod keys;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -232,7 +232,7 @@
         *used = Some(connection.serial());
         // The wait for the connection has used up some of the time.
         set_deadline(outbound.headers_mut(), names, deadline);
-        let handover = Rc::new(Handover::new(deadline));
+        let handover = Rc::new(Handover::new(state, pick, deadline));
         connection.restrict(handover.clone());
         match connection.send(outbound).await {
             Ok(response) => {
--- a/crates/edge/src/routed/holder.rs
+++ b/crates/edge/src/routed/holder.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tarragon_dispatch::denial::Verdict;
+use tarragon_dispatch::fleet::Fleet;
 use tokio::time::Instant;
 
 use super::{DEFAULT_RETRY_AFTER, Failure, Request, Target, append};
@@ -33,6 +34,8 @@
     Unreachable,
     /// It is outside the homes of the request.
     NotHome,
+    /// Its zone is under evacuation, and no other server can get the key.
+    Evacuated,
 }
 
 impl Request<'_> {
@@ -64,6 +67,11 @@
                     let reason = "the key's backend server is not in a home region";
                     return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
                 }
+                Some(Holder::Evacuated) => {
+                    self.trace_keys(found.version, found.age_ms);
+                    let reason = "no backend server outside the evacuated zones";
+                    return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
+                }
                 Some(Holder::Leaving(time)) => deadline.min(Instant::now() + time),
                 None => deadline,
             };
@@ -94,6 +102,15 @@
         }
     }
 
+    /// Returns whether a server that may process the request can get its key.
+    fn may_get_holder(&self, fleet: &Fleet) -> bool {
+        fleet.iter().any(|server| {
+            server.entry.service == self.service
+                && fleet.accepts_keys(server)
+                && self.homes.allow(fleet.region(&server.entry.zone))
+        })
+    }
+
     /// Returns what this host knows of the holder of a key.
     fn find_holder(&self, key: u16) -> Found {
         let state = self.state;
@@ -116,6 +133,9 @@
             if !self.homes.allow(fleet.region(&server.entry.zone)) {
                 return Some(Holder::NotHome);
             }
+            if !fleet.may_receive(server, true, now) {
+                return (!self.may_get_holder(&fleet)).then_some(Holder::Evacuated);
+            }
             if server.is_denied(now) {
                 return Some(Holder::Denied);
             }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -91,6 +91,8 @@
             regions: settings.regions.clone(),
         };
         let bounds = settings.bounds;
+        let mut fleet = Fleet::new(location);
+        fleet.evacuation_mut().set_bound(bounds.evacuation);
         let body_memory = body::Memory::of_host(settings.memory);
         Self {
             settings,
@@ -98,7 +100,7 @@
             platform,
             metrics: Metrics::new(),
             pool: Pool::default(),
-            fleet: Rc::new(RefCell::new(Fleet::new(location))),
+            fleet: Rc::new(RefCell::new(fleet)),
             denials: RefCell::default(),
             body_memory,
             quarantine: RefCell::default(),
