Relay the zones under evacuation to all hosts

Cause: hosts did not learn which zones are to be evacuated.

Change: a third watch, in force only where the settings give `evacuation`, follows the objects whose kind the platform crate names.

The age of the copy includes the third subject. A host reports ready, and accepts requests, only once the set is known.

--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -17,6 +17,7 @@
 use crate::edit::Edit;
 use crate::state::State;
 
+mod evacuation;
 pub mod outage;
 mod watcher;
 
@@ -68,9 +69,13 @@
     outages: RefCell<Detector>,
     store_unavailable: Cell<bool>,
     /// When the store last confirmed each [`Subject`].
-    confirmed: [Cell<Instant>; 2],
+    confirmed: [Cell<Instant>; 3],
+    /// Whether the zones under evacuation are part of the copy.
+    evacuations_in_force: Cell<bool>,
     /// Until when the granter's copy replaces this host's own store calls.
     relay_valid_until: Cell<Instant>,
+    /// The same for the zones under evacuation.
+    evacuations_valid_until: Cell<Instant>,
     /// When the granter was last heard.
     heard_granter: Cell<Instant>,
     /// Removed entries, oldest first. The list is complete since the revision beside it.
@@ -157,6 +162,7 @@
 enum Subject {
     Catalog = 0,
     Entries = 1,
+    Evacuations = 2,
 }
 
 impl Cache {
@@ -189,10 +195,12 @@
     ///
     /// It grows while the store does not respond.
     pub fn age(&self, now: Instant) -> Duration {
-        let ages = self
-            .confirmed
-            .iter()
-            .map(|confirmed| now.since(confirmed.get()));
+        let parts = if self.evacuations_in_force.get() {
+            &self.confirmed[..]
+        } else {
+            &self.confirmed[..Subject::Evacuations as usize]
+        };
+        let ages = parts.iter().map(|confirmed| now.since(confirmed.get()));
         ages.max().unwrap_or_default()
     }
 
@@ -200,6 +208,7 @@
     pub fn become_granter(&self) {
         self.is_granter.set(true);
         self.relay_valid_until.set(Instant::ZERO);
+        self.evacuations_valid_until.set(Instant::ZERO);
     }
 
     /// Notes that this host is no longer the granter.
@@ -248,9 +257,10 @@
         self.heard_granter.set(now);
     }
 
-    /// Notes that this host has the granter's copy, which the store confirmed `age` ago.
+    /// Notes that this host has the granter's catalog and entries, which the store confirmed `age`
+    /// ago.
     pub fn confirm_relayed(&self, age: Duration, now: Instant) {
-        for confirmed in &self.confirmed {
+        for confirmed in &self.confirmed[..Subject::Evacuations as usize] {
             confirmed.set(confirmed.get().max(now - age));
         }
         if age < MAX_RELAYED_AGE {
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -30,6 +30,7 @@
 use crate::state::State;
 
 mod elected;
+mod evacuation;
 mod links;
 mod store;
 
@@ -415,6 +416,7 @@
         let request = Frame::StateRequest {
             catalog,
             entries,
+            evacuations: self.state.fleet.borrow().evacuation().revision(),
             keys: self.state.key_map_versions(),
         };
         self.links.send(link, &request);
@@ -567,6 +569,7 @@
         catalog,
         entries,
         changed: cluster.last_change(),
+        evacuations: cluster.evacuations(state).map(Box::new),
     }
 }
 
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -96,11 +96,13 @@
                 catalog,
                 entries,
                 changed,
+                evacuations,
             } => {
                 self.on_heartbeat(link, (record_version, sent_us), hosts, state_age_ms);
                 if matches!(&self.role, Role::Following(followed) if followed.link == link) {
                     self.max_cores = max_cores;
                 }
+                self.on_evacuations(link, state_age_ms, evacuations.as_deref());
                 self.compare_revisions(link, state_age_ms, (catalog, entries, changed));
             }
             Frame::KeysPatch { service, patch } => {
@@ -145,13 +147,18 @@
             Frame::StateRequest {
                 catalog,
                 entries,
+                evacuations,
                 keys,
-            } => self.send_missing_state(link, (catalog, entries), &keys),
+            } => self.send_missing_state(link, (catalog, entries, evacuations), &keys),
             Frame::StateSnapshot {
                 catalog,
                 entries,
                 grace_ms,
+                evacuations,
             } => {
+                if let Some(set) = evacuations {
+                    self.cluster.apply_evacuations(&self.state, &set);
+                }
                 let grace = Duration::from_millis(grace_ms).min(EXPIRED_ENTRY_GRACE);
                 self.cluster
                     .apply_snapshot(&self.state, catalog, entries, grace);
@@ -163,10 +170,14 @@
     fn send_missing_state(
         &self,
         link: u64,
-        (catalog, entries): (u64, u64),
+        (catalog, entries, evacuations): (u64, u64, Option<u64>),
         keys: &[(String, (u64, u64))],
     ) {
         let catalog = self.cluster.catalog_after(catalog);
+        let evacuations = self
+            .cluster
+            .evacuations_after(&self.state, evacuations)
+            .map(Box::new);
         let entries = match self.cluster.entries_after(entries) {
             Some(CatchUp::Delta(delta)) => {
                 self.links.send(link, &Frame::StateDelta(delta));
@@ -175,12 +186,13 @@
             Some(CatchUp::All(list)) => Some(list),
             None => None,
         };
-        if catalog.is_some() || entries.is_some() {
+        if catalog.is_some() || entries.is_some() || evacuations.is_some() {
             let grace = self.cluster.removal_grace(&self.state);
             let snapshot = Frame::StateSnapshot {
                 catalog,
                 entries,
                 grace_ms: u64::try_from(grace.as_millis()).unwrap_or_default(),
+                evacuations,
             };
             self.links.send(link, &snapshot);
         }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -22,7 +22,7 @@
 use crate::routed::{self, DEFAULT_RETRY_AFTER, Failure, STOPPING};
 use crate::socket::Socket;
 use crate::state::State;
-use crate::{body, pool};
+use crate::{body, evacuation, pool};
 
 /// Timeout of a request without a deadline header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -209,6 +209,10 @@
     if state.catalog_revision() == 0 {
         return Err(Failure::not_run("no catalog yet", DEFAULT_RETRY_AFTER));
     }
+    if !evacuation::is_known(state) {
+        let reason = "the evacuated zones are not known yet";
+        return Err(Failure::not_run(reason, DEFAULT_RETRY_AFTER));
+    }
     let entry = find_route(state, &request)?;
     let names = state.platform.headers();
     let (head, body) = request.into_parts();
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -11,6 +11,7 @@
 
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
+use tarragon_dispatch::evacuation::Set;
 use tarragon_store::object::{List, Object};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -63,6 +64,9 @@
         entries: u64,
         /// Revision of the latest change of an entry.
         changed: u64,
+        /// Zones under evacuation, if the sender knows them.
+        #[serde(default)]
+        evacuations: Option<Box<Set>>,
     },
     /// Another process has won the granter election; an earlier granter has to step down.
     #[serde(rename = "Office")]
@@ -125,6 +129,9 @@
         catalog: u64,
         /// Revision up to which it knows the entries of backend servers.
         entries: u64,
+        /// Revision of the zones under evacuation, if it knows them.
+        #[serde(default)]
+        evacuations: Option<u64>,
         /// Versions of the key maps that it knows, by service.
         keys: Vec<(String, (u64, u64))>,
     },
@@ -141,6 +148,9 @@
         /// Time for which entries that it lacks may still come back, in milliseconds.
         #[serde(default)]
         grace_ms: u64,
+        /// Zones under evacuation, if they are later than requested.
+        #[serde(default)]
+        evacuations: Option<Box<Set>>,
     },
 }
 
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -41,6 +41,8 @@
     fn catalog_key(&self) -> Key<'static>;
     /// Returns the store kind of the entries in which backend servers describe themselves.
     fn entries_kind(&self) -> &'static str;
+    /// Returns the store kind of the objects that are named after the zones to be evacuated.
+    fn evacuations_kind(&self) -> &'static str;
     /// Parses the catalog.
     ///
     /// # Errors
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -26,7 +26,7 @@
 use crate::settings::Settings;
 use crate::shutdown::Schedule;
 use crate::state::State;
-use crate::{election, front};
+use crate::{election, evacuation, front};
 
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -222,6 +222,8 @@
                     log::info!("event=reload signalled={signalled} changed={changed}");
                 }
                 state.bounds.set(settings.bounds);
+                let mut fleet = state.fleet.borrow_mut();
+                fleet.evacuation_mut().set_bound(settings.bounds.evacuation);
             }
             Err(text) if signalled => log::warn!("event=reload outcome=kept error=\"{text}\""),
             Err(_) => {}
@@ -266,12 +268,13 @@
     response
 }
 
-/// Returns whether requests can be served: routes and backend servers are known and the process is
-/// not stopping.
-fn is_ready(state: &State) -> bool {
+/// Returns whether requests can be served: routes, backend servers and evacuated zones are known and
+/// the process is not stopping.
+pub fn is_ready(state: &State) -> bool {
     !state.leaving.is_cancelled()
         && state.catalog_revision() > 0
         && state.fleet.borrow().iter().next().is_some()
+        && evacuation::is_known(state)
 }
 
 /// Listens on an IPv4 address.
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -62,6 +62,10 @@
         "entries"
     }
 
+    fn evacuations_kind(&self) -> &'static str {
+        "evacuations"
+    }
+
     fn parse_catalog(&self, value: &Value) -> Result<Catalog, String> {
         let version = value["version"].as_u64().ok_or("no version")?;
         Ok(Catalog {
--- a/crates/edge/tests/failed_tasks.rs
+++ b/crates/edge/tests/failed_tasks.rs
@@ -49,6 +49,10 @@
         self.plain.entries_kind()
     }
 
+    fn evacuations_kind(&self) -> &'static str {
+        self.plain.evacuations_kind()
+    }
+
     fn parse_catalog(&self, value: &Value) -> Result<Catalog, String> {
         self.plain.parse_catalog(value)
     }
