Age the granter's state by the time its heartbeat has waited

Cause: a heartbeat's age counted from when the host handled it. A host that was held up read heartbeats that had waited in its socket or its queue, took the state for recent, and made no store calls of its own for 1.2 s more.

Change: the new module election::transit derives the wait of a heartbeat from the sender's clock that it carries: the least difference between the clocks on the link stands for a heartbeat that did not wait. The first heartbeat of a link that this host opened counts from the opening. The wait is added to the age of the state; the time after which a silent granter is searched for still counts from the handling, since a late heartbeat also shows a live granter.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -23,6 +23,7 @@
 use tokio::sync::mpsc::{self, Receiver, UnboundedSender};
 
 use self::elected::Elected;
+use self::transit::Transits;
 use crate::cluster::Cache;
 use crate::granting::{Delivery, Update};
 use crate::lag;
@@ -32,6 +33,7 @@
 mod elected;
 mod links;
 mod store;
+pub mod transit;
 
 /// Store object that names the granter.
 const RECORD_KEY: Key<'static> = Key {
@@ -174,7 +176,7 @@
     link: u64,
     /// Version of its election record.
     record_version: u64,
-    /// When the heartbeat arrived.
+    /// When the heartbeat was read.
     last_heartbeat: Instant,
     /// Clock of the granter when it sent the heartbeat, in microseconds.
     sent_us: u64,
@@ -224,6 +226,7 @@
     last_dials: HashMap<SocketAddr, Instant>,
     /// Other ends of the links, by link number; links that are being established are among them.
     peers: HashMap<u64, Peer>,
+    transits: Transits,
     /// Hosts that were linked lately, and when last.
     hosts: HashMap<String, Instant>,
     last_report: Instant,
@@ -262,6 +265,7 @@
         max_cores: state.settings.cores.max(DEFAULT_MAX_CORES),
         last_dials: HashMap::new(),
         peers: HashMap::new(),
+        transits: Transits::default(),
         hosts: HashMap::new(),
         last_report: now,
         last_state_request: now,
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -74,6 +74,7 @@
 
     pub(super) fn on_link_down(&mut self, link: u64, reason: &str) {
         let known = self.peers.remove(&link);
+        self.transits.forget(link);
         let host = known.map(|peer| peer.host).unwrap_or_default();
         if !host.is_empty() {
             log::info!("event=link-down link={link} host={host} reason=\"{reason}\"");
@@ -97,6 +98,7 @@
                 entries,
                 changed,
             } => {
+                let state_age_ms = state_age_ms.saturating_add(self.waited_ms(link, sent_us));
                 self.on_heartbeat(link, (record_version, sent_us), hosts, state_age_ms);
                 if matches!(&self.role, Role::Following(followed) if followed.link == link) {
                     self.max_cores = max_cores;
@@ -159,6 +161,15 @@
         }
     }
 
+    /// Returns for how long a heartbeat has waited, in milliseconds.
+    fn waited_ms(&mut self, link: u64, sent_us: u64) -> u64 {
+        let dialled = self.peers.get(&link).and_then(|peer| peer.dialled);
+        let opened = dialled.map(|dial| dial.started);
+        let sent = Instant::from_micros(sent_us);
+        let delay = self.transits.delay(link, sent, opened, self.state.now());
+        u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Sends a host the state that this one knows and the other lacks.
     fn send_missing_state(
         &self,
