Notice the end of a caller's stream behind unread bytes

Cause: the end of the stream was looked for by a peek, which returns bytes of further requests while they are unread. The request of a caller that had sent further ones and disconnected ran on.

Change: while bytes are unread, the readiness of the socket, in which the system reports the end of the stream apart from the bytes, is checked as well.

--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Interval between two checks while unread bytes of further requests hide the end of the stream.
+/// Interval between two checks while there are unread bytes of further requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(120);
 
 /// Maximum time for which a connection that was shut down waits for its caller to close it.
@@ -33,12 +33,22 @@
     }
 
     /// Waits until the caller closes the connection or it fails.
+    ///
+    /// Unread bytes hide the end of the stream from a read. The system reports it apart from them.
     pub async fn closed(&self) {
         let mut byte = [0];
         loop {
             match self.0.peek(&mut byte).await {
                 Ok(0) => return,
-                Ok(_) => tokio::time::sleep(POLL_INTERVAL).await,
+                Ok(_) => match self.0.ready(Interest::READABLE).await {
+                    Ok(ready) if !ready.is_read_closed() => {
+                        tokio::time::sleep(POLL_INTERVAL).await;
+                    }
+                    ended => {
+                        log::debug!("event=caller-disconnected unread=true state={ended:?}");
+                        return;
+                    }
+                },
                 Err(error) => {
                     log::debug!("event=caller-disconnected error=\"{error}\"");
                     return;
