Treat impossible statuses of backend servers as unknown outcomes

Cause: the HTTP library rejects statuses such as 000, 099, 1000, non-numeric and missing ones, and both routers answered these with 502. But it takes 600 to 999 for valid: both routers forwarded such a status to the caller, and the edge took one with a not-run header for a refusal. The router crate also forwarded a lone 101 as the final status.

Change: the edge treats a status above 599 like an interim status without a final one: unknown outcome, repeated only if the request may run again. The router's client returns an error for both and discards its idle connections, since the library does not close one connection of its pool.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -32,6 +32,9 @@
 /// Body of a response to a caller.
 pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = BodyError>>>;
 
+/// Largest status of a response. The HTTP library rejects statuses below 100 and above 999, and
+/// takes those in between for valid.
+const MAX_STATUS: u16 = 599;
 /// Size up to which a response is buffered before it is forwarded, so that a retry can replace one
 /// that breaks off.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
@@ -328,7 +331,7 @@
         guard.finish(AttemptClass::Failed, load, 0);
         return Outcome::Unknown("answer to another request".to_owned());
     }
-    if status.is_informational() {
+    if status.is_informational() || status.as_u16() > MAX_STATUS {
         guard.finish(AttemptClass::Failed, load, 0);
         return Outcome::Unknown("no final answer".to_owned());
     }
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -3,9 +3,10 @@
 use std::error::Error as StdError;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use serde_json::json;
@@ -28,6 +29,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of the response to a probe or a grant, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024;
+/// Largest status of a response. The HTTP library rejects statuses below 100 and above 999, and
+/// takes those in between for valid.
+const MAX_STATUS: u16 = 599;
 /// Maximum number of idle connections kept to one address.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Response header that identifies the incarnation of a backend server.
@@ -38,9 +42,14 @@
 /// HTTP client for backend servers and other routers.
 #[derive(Clone)]
 pub struct Client {
-    http: volo_http::client::Client,
+    http: Arc<RwLock<volo_http::client::Client>>,
 }
 
+/// Error of a response whose status no final response can have.
+#[derive(Debug, thiserror::Error)]
+#[error("step=send: the response has the status {0}")]
+struct BrokenStatus(StatusCode);
+
 /// HTTP request to a backend server or another router.
 #[derive(Clone, Debug)]
 pub struct Call<'a> {
@@ -63,10 +72,8 @@
     ///
     /// Any error of the HTTP library.
     pub fn new() -> Result<Self, ClientError> {
-        let mut builder = ClientBuilder::new();
-        builder.set_max_idle_per_host(MAX_IDLE_CONNECTIONS);
         Ok(Self {
-            http: builder.build()?,
+            http: Arc::new(RwLock::new(build()?)),
         })
     }
 
@@ -74,10 +81,36 @@
     ///
     /// # Errors
     ///
-    /// Any error of the connection; [`classify_error`] shows whether anything may have been sent.
+    /// Any error of the connection, and a status that no final response can have;
+    /// [`classify_error`] shows whether anything may have been sent.
     pub async fn send(&self, call: Call<'_>) -> Result<Response, ClientError> {
-        let mut builder = self
-            .http
+        let response = self.exchange(call).await?;
+        let status = response.status();
+        if !status.is_informational() && status.as_u16() <= MAX_STATUS {
+            return Ok(response);
+        }
+        log::warn!("event=response-status-broken status={status}");
+        self.discard_connections();
+        let error = Some(BrokenStatus(status));
+        Err(ClientError::new(ErrorKind::Request, error))
+    }
+
+    /// Replaces the connection pool: the library does not close one connection of it.
+    fn discard_connections(&self) {
+        match build() {
+            Ok(http) => *self.http.write().unwrap_or_else(PoisonError::into_inner) = http,
+            Err(error) => log::error!("event=client-failed error=\"{error}\""),
+        }
+    }
+
+    fn current(&self) -> volo_http::client::Client {
+        let http = self.http.read().unwrap_or_else(PoisonError::into_inner);
+        http.clone()
+    }
+
+    async fn exchange(&self, call: Call<'_>) -> Result<Response, ClientError> {
+        let http = self.current();
+        let mut builder = http
             .request_builder()
             .method(call.method.clone())
             .uri(call.path)
@@ -87,6 +120,12 @@
     }
 }
 
+fn build() -> Result<volo_http::client::Client, ClientError> {
+    let mut builder = ClientBuilder::new();
+    builder.set_max_idle_per_host(MAX_IDLE_CONNECTIONS);
+    builder.build()
+}
+
 /// Returns what the error of a call proves about the request: whether anything was sent.
 #[must_use]
 pub fn classify_error(error: &ClientError) -> Ending {
