Track until when each backend server is cold

Nothing kept the time for which a server stays cold, and an entry that reported a new warm-up without a restart was ignored. The fleet now keeps that time for each server and takes it from every later entry. It counts only for services with a rate, and only with bounds in the settings; State derives the limits from both whenever either changes.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -10,6 +10,7 @@
 
 mod estimate;
 mod server;
+pub mod warmup;
 
 use self::estimate::Estimate;
 pub use self::estimate::{AttemptClass, Load, Observation, Sample};
@@ -45,6 +46,8 @@
     Restarted,
     /// The backend server started or stopped accepting requests.
     Status,
+    /// The backend server turned cold without a restart, and requests to cold servers are limited.
+    Cold,
     /// Nothing that matters to this host.
     None,
 }
@@ -150,6 +153,7 @@
     services: BTreeSet<String>,
     baselines: HashMap<String, estimate::Baseline>,
     lag: Duration,
+    limits: warmup::Limits,
 }
 
 impl Fleet {
@@ -162,6 +166,7 @@
             services: BTreeSet::new(),
             baselines: HashMap::new(),
             lag: Duration::ZERO,
+            limits: warmup::Limits::new(),
         }
     }
 
@@ -206,6 +211,7 @@
                 grace_until: None,
                 superseded: false,
                 denied_until: None,
+                cold_until: now + entry.warmup,
                 estimate,
                 entry,
             };
@@ -217,8 +223,11 @@
         if revision < known.revision {
             return Change::None;
         }
+        let mut turned_cold = false;
         if revision > known.revision {
             known.denied_until = None;
+            let limited = self.limits.contains_key(&entry.service);
+            turned_cold = known.update_warmup(&entry, limited, now);
         }
         known.revision = revision;
         known.present = true;
@@ -228,6 +237,7 @@
         let was_ready = known.status == Status::Ready;
         if restarted {
             known.estimate = Estimate::new(now + entry.warmup);
+            known.cold_until = now + entry.warmup;
             known.learned_at = now;
         }
         if restarted || was_ready == entry.draining {
@@ -245,6 +255,8 @@
             Change::Restarted
         } else if status_changed {
             Change::Status
+        } else if turned_cold {
+            Change::Cold
         } else {
             Change::None
         }
--- a/crates/dispatch/src/fleet/estimate.rs
+++ b/crates/dispatch/src/fleet/estimate.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Sets until when the server is slow because it is cold.
+    pub(super) fn set_warmup(&mut self, until: Instant) {
+        self.warmup_until = until;
+    }
+
     pub(super) fn record_sent(&mut self) {
         self.in_flight += 1;
         self.tried = true;
--- a/crates/dispatch/src/fleet/server.rs
+++ b/crates/dispatch/src/fleet/server.rs
@@ -40,6 +40,8 @@
     pub(super) superseded: bool,
     /// Time until which the server counts as another than the entry says.
     pub(super) denied_until: Option<Instant>,
+    /// Time until which the server is cold by its entry.
+    pub(super) cold_until: Instant,
     pub(super) estimate: Estimate,
 }
 
--- a/crates/dispatch/src/warmup.rs
+++ b/crates/dispatch/src/warmup.rs
@@ -1,4 +1,5 @@
-//! Limit on the requests to a backend server that has just started.
+//! Limit on the requests to a cold backend server: one that has started, or lost its caches, so
+//! recently that it bears only part of its usual load.
 
 use std::time::Duration;
 
@@ -20,3 +21,63 @@
     /// Requests allowed in addition.
     pub slack: f64,
 }
+
+/// Number of senders between which the bound is divided: two hosts may both believe that they are
+/// the granter, and each chooses a sender.
+const SENDERS: f64 = 2.0;
+/// Time over which the bound counts requests.
+const BOUND_WINDOW: Duration = Duration::from_secs(1);
+
+/// Limit on the requests of one sender to a cold backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Requests per second that the server bears.
+    pub per_s: f64,
+    /// Maximum number of requests in any [`Limit::window`].
+    pub count: u32,
+    /// Time over which requests are counted.
+    pub window: Duration,
+}
+
+impl Limit {
+    /// Returns the limit for a server that bears `per_s` requests per second.
+    ///
+    /// The limit is at most half the bound, but one request in any case: without requests a server
+    /// would never fill its caches.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tarragon_dispatch::warmup::{Bound, Limit};
+    ///
+    /// let bound = Bound { overrun: 1.5, slack: 8.0 };
+    /// let limit = Limit::new(6.5, bound);
+    /// assert_eq!((limit.count, limit.window), (6, Duration::from_secs(1)));
+    /// let limit = Limit::new(0.25, bound);
+    /// assert_eq!((limit.count, limit.window), (1, Duration::from_secs(4)));
+    /// let tight = Bound { overrun: 1.0, slack: 0.0 };
+    /// assert_eq!(Limit::new(6.5, tight).count, 3);
+    /// ```
+    #[must_use]
+    pub fn new(per_s: f64, bound: Bound) -> Self {
+        let half = (per_s * bound.overrun + bound.slack) / SENDERS;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "casts of floating-point numbers saturate"
+        )]
+        let count = (per_s.min(half) as u32).max(1);
+        let time = Duration::try_from_secs_f64(f64::from(count) / per_s).unwrap_or(Duration::MAX);
+        Self {
+            per_s,
+            count,
+            window: time.max(BOUND_WINDOW),
+        }
+    }
+
+    /// Returns the mean interval at which each of `hosts` hosts may try a server of which it is not
+    /// known whether it is cold, so that all of them together stay below the limit.
+    #[must_use]
+    pub fn probe_interval(&self, hosts: u32) -> Duration {
+        self.window.saturating_mul(hosts.max(1)) / self.count
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod shutdown;
 pub mod socket;
 pub mod state;
+pub mod warmup;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -222,6 +222,9 @@
                     log::info!("event=reload signalled={signalled} changed={changed}");
                 }
                 state.bounds.set(settings.bounds);
+                if changed {
+                    state.update_warmup_limits();
+                }
             }
             Err(text) if signalled => log::warn!("event=reload outcome=kept error=\"{text}\""),
             Err(_) => {}
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -170,6 +170,7 @@
         self.fleet.borrow_mut().set_services(services);
         *self.table.borrow_mut() = Rc::new(Table::new(&catalog));
         *self.catalog.borrow_mut() = Rc::new(catalog);
+        self.update_warmup_limits();
         self.fleet_changed.notify_waiters();
         true
     }
