Decide which host sends to a cold server, and how much

Hosts that each limit their own requests would together exceed what a cold server bears, or leave its capacity unused. The granter's Allocation now chooses one host for each cold server, by zone, region and rendezvous hashing, and gives the server to another only when the earlier share and its last counted requests have expired by its own clock. Shares keeps what a host was given, valid for 2 s from the clock in its report, and limits the requests in a sliding window.

Nothing uses both yet.

--- a/crates/dispatch/src/warmup.rs
+++ b/crates/dispatch/src/warmup.rs
@@ -3,6 +3,9 @@
 
 use std::time::Duration;
 
+pub mod allocation;
+pub mod share;
+
 /// Load that a cold backend server of a service bears.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rate {
