Send nothing to cold servers without a share

Every host sent to a cold server as to any other. The choice of a server and the lookup of a key's holder now pass over cold servers to which this host may not send, for first attempts, retries and further sends alike, and a request that has no other server is rejected with the time at which the share admits it. A request counts when it is handed to its connection, and again at its first write, since the write may be delayed. Services without a rate, and settings without bounds, take the former path.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -7,6 +7,7 @@
 use tarragon_model::time::Instant;
 
 use crate::homes::Homes;
+use crate::warmup::share::Shares;
 
 mod estimate;
 mod server;
@@ -118,6 +119,8 @@
     NoServer,
     /// All servers are so full that the response would be late; retry after this time.
     Overloaded(Duration),
+    /// All servers are cold, and this host may send nothing to them now; retry after this time.
+    Cold(Duration),
 }
 
 /// Time for which an entry that expired while the store was unavailable may still return.
@@ -154,6 +157,7 @@
     baselines: HashMap<String, estimate::Baseline>,
     lag: Duration,
     limits: warmup::Limits,
+    shares: Shares,
 }
 
 impl Fleet {
@@ -167,6 +171,7 @@
             baselines: HashMap::new(),
             lag: Duration::ZERO,
             limits: warmup::Limits::new(),
+            shares: Shares::default(),
         }
     }
 
@@ -414,7 +419,7 @@
             .unwrap_or_default();
         let mut best: Option<(f64, f64, &Server)> = None;
         for server in self.servers.values() {
-            if !self.is_eligible(server, criteria, now) {
+            if !self.is_eligible(server, criteria, now) || !self.admits(server, now) {
                 continue;
             }
             let untried = !criteria.tried.contains(&server.entry.id);
@@ -446,7 +451,7 @@
             }
         }
         let Some((_, expected_ms, server)) = best else {
-            return Err(Refusal::NoServer);
+            return Err(self.refusal(criteria, now));
         };
         let allowed = criteria.allowed_ms();
         if expected_ms > allowed && server.estimate.is_full(server.entry.slots, now) {
@@ -456,7 +461,7 @@
         Ok(server.pick())
     }
 
-    /// Returns whether a request may be sent to a server.
+    /// Returns whether a request may be sent to a server, unless it is cold.
     fn is_eligible(&self, server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
         server.entry.service == criteria.service
             && server.status == Status::Ready
--- a/crates/dispatch/src/warmup.rs
+++ b/crates/dispatch/src/warmup.rs
@@ -36,6 +36,8 @@
 pub struct Limit {
     /// Requests per second that the server bears.
     pub per_s: f64,
+    /// Bound that the limit keeps.
+    pub bound: Bound,
     /// Maximum number of requests in any [`Limit::window`].
     pub count: u32,
     /// Time over which requests are counted.
@@ -72,11 +74,22 @@
         let time = Duration::try_from_secs_f64(f64::from(count) / per_s).unwrap_or(Duration::MAX);
         Self {
             per_s,
+            bound,
             count,
             window: time.max(BOUND_WINDOW),
         }
     }
 
+    /// Returns the limit for another rate under the same bound.
+    #[must_use]
+    pub fn with_rate(&self, per_s: f64) -> Self {
+        if per_s.is_finite() && per_s > 0.0 {
+            Self::new(per_s, self.bound)
+        } else {
+            *self
+        }
+    }
+
     /// Returns the mean interval at which each of `hosts` hosts may try a server of which it is not
     /// known whether it is cold, so that all of them together stay below the limit.
     #[must_use]
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,7 @@
     requests: Counter<u64>,
     duration: Histogram<f64>,
     sends: Counter<u64>,
+    cold_sends: Counter<u64>,
     commands: Counter<u64>,
     command_send_delays: Histogram<f64>,
     command_durations: Histogram<f64>,
@@ -61,6 +62,7 @@
                 .with_unit("s")
                 .build(),
             sends: meter.u64_counter("tarragon.edge.sends").build(),
+            cold_sends: meter.u64_counter("tarragon.edge.cold_sends").build(),
             commands: meter.u64_counter("tarragon.edge.orders").build(),
             command_send_delays: delays("tarragon.edge.command.send_delay"),
             command_durations: delays("tarragon.edge.command.duration"),
@@ -88,6 +90,11 @@
         self.sends.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts one send of a request to a cold backend server, by whether it was withheld.
+    pub fn count_cold_send(&self, result: &'static str) {
+        self.cold_sends.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a command to a backend server, by its action and its result.
     pub fn count_command(&self, action: &'static str, result: &'static str) {
         let labels = [
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -22,7 +22,7 @@
 use self::handover::Handover;
 use crate::body::Reservation;
 use crate::platform::Headers;
-use crate::pool::{self, Connection, Permit, Requirements, Serial};
+use crate::pool::{self, Connection, Requirements, Serial};
 use crate::state::State;
 
 mod handover;
@@ -232,7 +232,10 @@
         *used = Some(connection.serial());
         // The wait for the connection has used up some of the time.
         set_deadline(outbound.headers_mut(), names, deadline);
-        let handover = Rc::new(Handover::new(deadline));
+        let Some(handover) = Handover::new(state, pick, deadline).map(Rc::new) else {
+            connection.recycle(None);
+            return Outcome::NotSent("no share of the cold server".to_owned());
+        };
         connection.restrict(handover.clone());
         match connection.send(outbound).await {
             Ok(response) => {
@@ -244,7 +247,7 @@
                 guard.finish(AttemptClass::Unreachable, None, 0);
                 return Outcome::NotSent(text);
             }
-            Err((None, text)) if !handover.allows() => {
+            Err((None, text)) if handover.is_withheld() => {
                 log::debug!("event=request-not-sent server={} error=\"{text}\"", pick.id);
                 return Outcome::NotSent(text);
             }
--- a/crates/edge/src/routed/choice.rs
+++ b/crates/edge/src/routed/choice.rs
@@ -15,6 +15,7 @@
         let picked = fleet.pick(&self.criteria(), &has_idle, state.now());
         picked.map_err(|refusal| match refusal {
             Refusal::NoServer => self.failure("no backend server", DEFAULT_RETRY_AFTER),
+            Refusal::Cold(after) => self.failure("all backend servers are cold", after),
             Refusal::Overloaded(after) => self.failure("all backend servers are full", after),
         })
     }
--- a/crates/edge/src/routed/holder.rs
+++ b/crates/edge/src/routed/holder.rs
@@ -33,6 +33,8 @@
     Unreachable,
     /// It is outside the homes of the request.
     NotHome,
+    /// It is cold, and this host may send to it only after this time.
+    Cold(Duration),
 }
 
 impl Request<'_> {
@@ -64,6 +66,10 @@
                     let reason = "the key's backend server is not in a home region";
                     return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
                 }
+                Some(Holder::Cold(after)) => {
+                    self.trace_keys(found.version, found.age_ms);
+                    return Err(self.failure("the key's backend server is cold", after));
+                }
                 Some(Holder::Leaving(time)) => deadline.min(Instant::now() + time),
                 None => deadline,
             };
@@ -122,6 +128,9 @@
             if server.is_unreachable(now) {
                 return Some(Holder::Unreachable);
             }
+            if !fleet.admits(server, now) {
+                return Some(Holder::Cold(fleet.admits_after(server, now)));
+            }
             let target = Target {
                 pick: server.pick(),
                 range_to: Some(range.to),
