Hand out shares of cold servers with the reports

No message carried shares. A report now carries the host's clock and zone, and the granter responds with WarmupShares, also as soon as it chose a new sender. It does so only while its term is confirmed, and its own host takes part without a message. Hosts of the previous build report no clock and get no response.

--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -32,6 +32,7 @@
 mod elected;
 mod links;
 mod store;
+mod warmup;
 
 /// Store object that names the granter.
 const RECORD_KEY: Key<'static> = Key {
@@ -228,6 +229,8 @@
     hosts: HashMap<String, Instant>,
     last_report: Instant,
     last_state_request: Instant,
+    /// Shares of cold servers that this host gives while it is the granter.
+    warmup: warmup::Granter,
     /// Whether the process is about to end; it makes no claim then.
     leaving: bool,
     store_responses: UnboundedSender<StoreResponse>,
@@ -265,6 +268,7 @@
         hosts: HashMap::new(),
         last_report: now,
         last_state_request: now,
+        warmup: warmup::Granter::default(),
         leaving: false,
         store_responses,
         completions,
@@ -440,6 +444,8 @@
             traffic: traffic.collect(),
             served: served.collect(),
             crashes: self.state.take_new_crashes(),
+            clock_us: self.state.now().as_micros(),
+            zone: self.state.settings.zone.clone(),
         }
     }
 
@@ -510,6 +516,7 @@
         for process in predecessors {
             self.dial(process.address, now);
         }
+        self.tick_warmup(now);
     }
 
     /// Applies a report; `crashes` goes on to all hosts.
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -128,7 +128,10 @@
                 traffic,
                 served,
                 crashes,
+                clock_us,
+                zone,
             } => {
+                self.answer_report(link, &zone, clock_us);
                 let peer = self.peers.get(&link);
                 let host = peer.map(|peer| process_id(&peer.host, peer.incarnation));
                 if let Role::Granting(elected) = &mut self.role
@@ -141,6 +144,7 @@
                 }
                 self.apply_report(&traffic, &served, crashes);
             }
+            Frame::WarmupShares { clock_us, shares } => self.apply_shares(clock_us, shares),
             Frame::Crashes { crashes } => self.quarantine(&crashes),
             Frame::StateRequest {
                 catalog,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -111,6 +111,21 @@
         served: Vec<(String, u32, f32)>,
         /// Fingerprints of requests that crashed a backend server, with its identifier.
         crashes: Vec<(u64, String)>,
+        /// Clock of the host when it sends the report, in microseconds; 0 from hosts of the
+        /// previous build.
+        #[serde(default)]
+        clock_us: u64,
+        /// Failure domain of the host; empty from hosts of the previous build.
+        #[serde(default)]
+        zone: String,
+    },
+    /// Response of the granter to a report: the cold backend servers that the host may send to.
+    WarmupShares {
+        /// `clock_us` of the report.
+        clock_us: u64,
+        /// Identifier of each server, start time of its process in milliseconds since the Unix
+        /// epoch, and requests per second that it bears.
+        shares: Vec<(String, u64, f64)>,
     },
     /// Requests that crashed a backend server, broadcast to all hosts.
     Crashes {
@@ -184,6 +199,7 @@
             Self::KeysPatch { .. } => "keys-patch",
             Self::KeysRequest => "ask-keys",
             Self::Report { .. } => "report",
+            Self::WarmupShares { .. } => "warmup-shares",
             Self::Crashes { .. } => "crashes",
             Self::StateRequest { .. } => "ask",
             Self::StateDelta(_) => "news",
