--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -8,10 +8,12 @@
 
 use crate::evacuation;
 use crate::homes::Homes;
+use crate::warmup::share::Shares;
 
 mod estimate;
 mod evacuated;
 mod server;
+pub mod warmup;
 
 use self::estimate::Estimate;
 pub use self::estimate::{AttemptClass, Load, Observation, Sample};
@@ -47,6 +49,8 @@
     Restarted,
     /// The backend server started or stopped accepting requests.
     Status,
+    /// The backend server turned cold without a restart, and requests to cold servers are limited.
+    Cold,
     /// Nothing that matters to this host.
     None,
 }
@@ -117,6 +121,8 @@
     NoServer,
     /// All servers are so full that the response would be late; retry after this time.
     Overloaded(Duration),
+    /// All servers are cold, and this host may send nothing to them now; retry after this time.
+    Cold(Duration),
 }
 
 /// Time for which an entry that expired while the store was unavailable may still return.
@@ -153,6 +159,8 @@
     baselines: HashMap<String, estimate::Baseline>,
     lag: Duration,
     evacuation: evacuation::Zones,
+    limits: warmup::Limits,
+    shares: Shares,
 }
 
 impl Fleet {
@@ -166,6 +174,8 @@
             baselines: HashMap::new(),
             lag: Duration::ZERO,
             evacuation: evacuation::Zones::default(),
+            limits: warmup::Limits::new(),
+            shares: Shares::default(),
         }
     }
 
@@ -210,6 +220,7 @@
                 grace_until: None,
                 superseded: false,
                 denied_until: None,
+                cold_until: now + entry.warmup,
                 estimate,
                 entry,
             };
@@ -221,8 +232,11 @@
         if revision < known.revision {
             return Change::None;
         }
+        let mut turned_cold = false;
         if revision > known.revision {
             known.denied_until = None;
+            let limited = self.limits.contains_key(&entry.service);
+            turned_cold = known.update_warmup(&entry, limited, now);
         }
         known.revision = revision;
         known.present = true;
@@ -232,6 +246,7 @@
         let was_ready = known.status == Status::Ready;
         if restarted {
             known.estimate = Estimate::new(now + entry.warmup);
+            known.cold_until = now + entry.warmup;
             known.learned_at = now;
         }
         if restarted || was_ready == entry.draining {
@@ -249,6 +264,8 @@
             Change::Restarted
         } else if status_changed {
             Change::Status
+        } else if turned_cold {
+            Change::Cold
         } else {
             Change::None
         }
@@ -406,7 +423,7 @@
             .unwrap_or_default();
         let mut best: Option<(f64, f64, &Server)> = None;
         for server in self.servers.values() {
-            if !self.is_eligible(server, criteria, now) {
+            if !self.is_eligible(server, criteria, now) || !self.admits(server, now) {
                 continue;
             }
             let untried = !criteria.tried.contains(&server.entry.id);
@@ -438,7 +455,7 @@
             }
         }
         let Some((_, expected_ms, server)) = best else {
-            return Err(Refusal::NoServer);
+            return Err(self.refusal(criteria, now));
         };
         let allowed = criteria.allowed_ms();
         if expected_ms > allowed && server.estimate.is_full(server.entry.slots, now) {
@@ -448,7 +465,7 @@
         Ok(server.pick())
     }
 
-    /// Returns whether a request may be sent to a server.
+    /// Returns whether a request may be sent to a server, unless it is cold.
     fn is_eligible(&self, server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
         server.entry.service == criteria.service
             && server.status == Status::Ready
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -35,6 +35,7 @@
 mod links;
 mod store;
 pub mod transit;
+mod warmup;
 
 /// Store object that names the granter.
 const RECORD_KEY: Key<'static> = Key {
@@ -232,6 +233,8 @@
     hosts: HashMap<String, Instant>,
     last_report: Instant,
     last_state_request: Instant,
+    /// Shares of cold servers that this host gives while it is the granter.
+    warmup: warmup::Granter,
     /// Whether the process is about to end; it makes no claim then.
     leaving: bool,
     store_responses: UnboundedSender<StoreResponse>,
@@ -270,6 +273,7 @@
         hosts: HashMap::new(),
         last_report: now,
         last_state_request: now,
+        warmup: warmup::Granter::default(),
         leaving: false,
         store_responses,
         completions,
@@ -446,6 +450,8 @@
             traffic: traffic.collect(),
             served: served.collect(),
             crashes: self.state.take_new_crashes(),
+            clock_us: self.state.now().as_micros(),
+            zone: self.state.settings.zone.clone(),
         }
     }
 
@@ -516,6 +522,7 @@
         for process in predecessors {
             self.dial(process.address, now);
         }
+        self.tick_warmup(now);
     }
 
     /// Applies a report; `crashes` goes on to all hosts.
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -222,8 +222,14 @@
                     log::info!("event=reload signalled={signalled} changed={changed}");
                 }
                 state.bounds.set(settings.bounds);
-                let mut fleet = state.fleet.borrow_mut();
-                fleet.evacuation_mut().set_bound(settings.bounds.evacuation);
+                state
+                    .fleet
+                    .borrow_mut()
+                    .evacuation_mut()
+                    .set_bound(settings.bounds.evacuation);
+                if changed {
+                    state.update_warmup_limits();
+                }
             }
             Err(text) if signalled => log::warn!("event=reload outcome=kept error=\"{text}\""),
             Err(_) => {}
--- a/crates/edge/src/routed/choice.rs
+++ b/crates/edge/src/routed/choice.rs
@@ -18,6 +18,7 @@
                 self.failure("no backend server in a home region", DEFAULT_RETRY_AFTER)
             }
             Refusal::NoServer => self.failure("no backend server", DEFAULT_RETRY_AFTER),
+            Refusal::Cold(after) => self.failure("all backend servers are cold", after),
             Refusal::Overloaded(after) => self.failure("all backend servers are full", after),
         })
     }
--- a/crates/edge/src/routed/holder.rs
+++ b/crates/edge/src/routed/holder.rs
@@ -36,6 +36,8 @@
     NotHome,
     /// Its zone is under evacuation, and no other server can get the key.
     Evacuated,
+    /// It is cold, and this host may send to it only after this time.
+    Cold(Duration),
 }
 
 impl Request<'_> {
@@ -72,6 +74,10 @@
                     let reason = "no backend server outside the evacuated zones";
                     return Err(self.failure(reason, DEFAULT_RETRY_AFTER));
                 }
+                Some(Holder::Cold(after)) => {
+                    self.trace_keys(found.version, found.age_ms);
+                    return Err(self.failure("the key's backend server is cold", after));
+                }
                 Some(Holder::Leaving(time)) => deadline.min(Instant::now() + time),
                 None => deadline,
             };
@@ -142,6 +148,9 @@
             if server.is_unreachable(now) {
                 return Some(Holder::Unreachable);
             }
+            if !fleet.admits(server, now) {
+                return Some(Holder::Cold(fleet.admits_after(server, now)));
+            }
             let target = Target {
                 pick: server.pick(),
                 range_to: Some(range.to),
