Sample servers where a host does not know their queues

Cause: a host compared all servers of a service by its own knowledge. With 71 hosts and 183 servers that knowledge is older than the queues, so all hosts sent to the servers that looked fastest, which refused requests or reset connections.

Change: the choice moves into fleet/selection.rs. A host that sends each server fewer than 1.25 requests/s samples 8 servers in proportion to slots / slowness and compares only these; the load that it does not know is taken from the mean that servers report. Other regions are sampled only if the best server of the region has two requests per slot, or fewer if servers refuse earlier. A server that refused or reset is avoided for 400 ms. Requests that may run once are not sent to a server that looks full. The optional fourth load figure counts for 300 ms. Hosts that send more, and services of up to 8 servers, compare all as before.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -9,6 +9,7 @@
 use crate::homes::Homes;
 
 mod estimate;
+mod selection;
 mod server;
 
 use self::estimate::Estimate;
@@ -77,6 +78,8 @@
     pub large_response: bool,
     /// Size of its body, in bytes.
     pub request_bytes: usize,
+    /// Whether it may run more than once.
+    pub retryable: bool,
     /// Random number between 0 and 1 that breaks ties.
     pub random: f64,
 }
@@ -149,6 +152,7 @@
     /// Services that the catalog names.
     services: BTreeSet<String>,
     baselines: HashMap<String, estimate::Baseline>,
+    traffic: HashMap<String, selection::Traffic>,
     lag: Duration,
 }
 
@@ -161,6 +165,7 @@
             servers: BTreeMap::new(),
             services: BTreeSet::new(),
             baselines: HashMap::new(),
+            traffic: HashMap::new(),
             lag: Duration::ZERO,
         }
     }
@@ -359,9 +364,18 @@
 
     /// Records how a request at a backend server ended.
     pub fn record_ended(&mut self, id: &str, observation: Observation, now: Instant) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let distance = self.distance(&server.entry.zone);
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
+        let (slots, refused) = (server.entry.slots, observation.class == AttemptClass::Shed);
+        self.traffic
+            .entry(server.entry.service.clone())
+            .or_default()
+            .record(distance, observation.load, refused, slots, now);
         let baseline = self
             .baselines
             .entry(server.entry.service.clone())
@@ -380,70 +394,6 @@
         samples.collect()
     }
 
-    /// Chooses the backend server with the lowest expected cost.
-    ///
-    /// The cost is the expected response time plus a penalty for distance, which grows with the
-    /// size of the response. `has_idle_connection` tells whether an open connection to a server is
-    /// idle.
-    ///
-    /// # Errors
-    ///
-    /// Returns why no server was chosen; the request was not sent then.
-    pub fn pick(
-        &self,
-        criteria: &Criteria<'_>,
-        has_idle_connection: &dyn Fn(&str) -> bool,
-        now: Instant,
-    ) -> Result<Pick, Refusal> {
-        let baseline = self
-            .baselines
-            .get(criteria.service)
-            .copied()
-            .unwrap_or_default();
-        let mut best: Option<(f64, f64, &Server)> = None;
-        for server in self.servers.values() {
-            if !self.is_eligible(server, criteria, now) {
-                continue;
-            }
-            let untried = !criteria.tried.contains(&server.entry.id);
-            let distance = self.distance(&server.entry.zone);
-            let near = distance != estimate::Distance::Far;
-            if untried && near && server.estimate.is_untried() && criteria.random < EXPLORE_PART {
-                return Ok(server.pick());
-            }
-            let expected_ms = server
-                .estimate
-                .expected_ms(&baseline, server.entry.slots, now);
-            let retried = if untried { 1.0 } else { RETRIED_PENALTY };
-            let missing = if server.missing_since.is_some() {
-                MISSING_PENALTY
-            } else {
-                1.0
-            };
-            let noise = 1.0 + NOISE_SPREAD * server_random(criteria.random, &server.entry.id);
-            let connect = if has_idle_connection(&server.entry.id) {
-                1.0
-            } else {
-                CONNECT_PENALTY
-            };
-            let distance_ms =
-                baseline.distance_ms(distance, criteria.large_response, criteria.request_bytes);
-            let cost = (expected_ms * connect + distance_ms) * retried * missing * noise;
-            if best.is_none_or(|(least, _, _)| cost < least) {
-                best = Some((cost, expected_ms, server));
-            }
-        }
-        let Some((_, expected_ms, server)) = best else {
-            return Err(Refusal::NoServer);
-        };
-        let allowed = criteria.allowed_ms();
-        if expected_ms > allowed && server.estimate.is_full(server.entry.slots, now) {
-            let over = (expected_ms - allowed).clamp(100.0, 2_000.0);
-            return Err(Refusal::Overloaded(Duration::from_secs_f64(over / 1_000.0)));
-        }
-        Ok(server.pick())
-    }
-
     /// Returns whether a request may be sent to a server.
     fn is_eligible(&self, server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
         server.entry.service == criteria.service
--- a/crates/dispatch/src/fleet/estimate.rs
+++ b/crates/dispatch/src/fleet/estimate.rs
@@ -11,6 +11,8 @@
     pub running: u32,
     /// Requests that are waiting.
     pub waiting: u32,
+    /// Time that work takes on the server's machine at present, in percent of the usual.
+    pub pace: Option<u32>,
 }
 
 /// How a request at a backend server ended.
@@ -33,8 +35,10 @@
     Served,
     /// The server refused the request without running it.
     Shed,
-    /// The server failed the request, or its response was lost or malformed.
+    /// The server failed the request, or its response was malformed.
     Failed,
+    /// The connection ended before the response, which a full server may cause.
+    Reset,
     /// The server could not be reached.
     Unreachable,
     /// The caller disconnected, or the request timed out.
@@ -133,6 +137,13 @@
 const WARMUP_PENALTY: f64 = 2.0;
 /// Pause after the first failure to reach a server; it doubles with each further failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a server that refused a request as full, or reset its connection, is avoided. A
+/// queue of a few requests per slot shortens noticeably in this time.
+const AVOIDANCE_TIME: Duration = Duration::from_millis(400);
+/// Age up to which a reported pace counts: a machine's pace changes several times a second.
+const PACE_TTL: Duration = Duration::from_millis(300);
+/// Lower and upper bound of a pace, as a factor of the usual time.
+const PACE_BOUNDS: (f64, f64) = (0.2, 10.0);
 /// Maximum pause.
 const MAX_PAUSE: Duration = Duration::from_millis(1_600);
 
@@ -144,8 +155,13 @@
     reported_at: Instant,
     slowness: f64,
     failure_rate: f64,
+    /// Part of the requests that the server refused or whose connection it reset.
+    refusal_rate: f64,
     unreachable_count: u32,
     blocked_until: Instant,
+    avoided_until: Instant,
+    /// Time that work takes on the machine, as a factor of the usual, and when this was reported.
+    pace: (f64, Instant),
     warmup_until: Instant,
     tried: bool,
     sample: Sample,
@@ -169,8 +185,11 @@
             reported_at: Instant::ZERO,
             slowness: 1.0,
             failure_rate: 0.0,
+            refusal_rate: 0.0,
             unreachable_count: 0,
             blocked_until: Instant::ZERO,
+            avoided_until: Instant::ZERO,
+            pace: (1.0, Instant::ZERO),
             warmup_until,
             tried: false,
             sample: Sample::default(),
@@ -194,10 +213,19 @@
             let total = f64::from(load.running + load.waiting);
             self.other_hosts = (total - f64::from(self.in_flight)).max(0.0);
             self.reported_at = now;
+            if let Some(percent) = load.pace {
+                let factor = f64::from(percent) / 100.0;
+                self.pace = (factor.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1), now);
+            }
         }
         match observation.class {
             AttemptClass::Served => self.record_served(observation, baseline, slots, now),
-            AttemptClass::Shed | AttemptClass::Failed => {
+            AttemptClass::Shed | AttemptClass::Reset => {
+                self.refusal_rate += FAILURE_GAIN * (1.0 - self.refusal_rate);
+                self.unreachable_count = 0;
+                self.avoided_until = now + AVOIDANCE_TIME;
+            }
+            AttemptClass::Failed => {
                 self.record_failure();
                 self.unreachable_count = 0;
             }
@@ -219,6 +247,7 @@
     ) {
         self.unreachable_count = 0;
         self.failure_rate -= FAILURE_GAIN * self.failure_rate;
+        self.refusal_rate -= FAILURE_GAIN * self.refusal_rate;
         baseline.samples = (baseline.samples + 1.0).min(BASELINE_SAMPLES);
         baseline.bytes += baseline.samples.recip()
             * (f64::from(u32::try_from(observation.bytes).unwrap_or(u32::MAX)) - baseline.bytes);
@@ -245,25 +274,80 @@
     }
 
     /// Returns the number of requests that run or wait at the server.
-    fn load(&self, now: Instant) -> f64 {
+    pub(super) fn load(&self, now: Instant) -> f64 {
+        f64::from(self.in_flight) + self.other_hosts * self.report_weight(now)
+    }
+
+    /// Returns the number of requests that probably run or wait at the server, where servers have
+    /// `mean` of them per slot: the older the report, the more likely it has as many as the others.
+    pub(super) fn likely_load(&self, mean: f64, slots: u32, now: Instant) -> f64 {
+        let unknown = mean * f64::from(slots) * (1.0 - self.report_weight(now));
+        self.load(now) + unknown
+    }
+
+    /// Returns the weight of the latest load report.
+    fn report_weight(&self, now: Instant) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
-        f64::from(self.in_flight) + self.other_hosts * 0.5_f64.powf(age)
+        0.5_f64.powf(age)
+    }
+
+    /// Returns the usual processing time at the server, as a factor of the service's mean.
+    pub(super) fn slowness(&self, now: Instant) -> f64 {
+        let warmup = if now < self.warmup_until {
+            WARMUP_PENALTY
+        } else {
+            1.0
+        };
+        self.slowness * warmup
     }
 
     /// Returns the expected response time of one more request, in milliseconds.
     pub(super) fn expected_ms(&self, baseline: &Baseline, slots: u32, now: Instant) -> f64 {
-        let utilization = (self.load(now) + 1.0) / f64::from(slots.max(1));
+        let failures = 1.0 - (1.0 - self.failure_rate) * (1.0 - self.refusal_rate);
+        self.response_ms(self.load(now), failures, baseline, slots, now)
+    }
+
+    /// Returns the expected response time of one more request at a server with `load` requests, in
+    /// milliseconds.
+    ///
+    /// Refusals as full do not count. A host that seldom sends to the server would take it for full
+    /// long after its queue has shortened.
+    pub(super) fn expected_ms_at(
+        &self,
+        load: f64,
+        baseline: &Baseline,
+        slots: u32,
+        now: Instant,
+    ) -> f64 {
+        self.response_ms(load, self.failure_rate, baseline, slots, now)
+    }
+
+    fn response_ms(
+        &self,
+        load: f64,
+        failures: f64,
+        baseline: &Baseline,
+        slots: u32,
+        now: Instant,
+    ) -> f64 {
+        let utilization = (load + 1.0) / f64::from(slots.max(1));
         let contention = 1.0_f64.max(utilization) + UTILIZATION_PENALTY * utilization.min(1.0);
-        let warmup = if now < self.warmup_until {
-            WARMUP_PENALTY
+        let pace = if now.since(self.pace.1) < PACE_TTL {
+            self.pace.0
         } else {
             1.0
         };
         baseline.request_ms
-            * self.slowness
-            * warmup
+            * self.slowness(now)
+            * pace
             * contention
-            * (1.0 + FAILURE_PENALTY * self.failure_rate)
+            * (1.0 + FAILURE_PENALTY * failures)
+    }
+
+    /// Returns whether the server refused a request as full, or reset its connection, a short time
+    /// ago.
+    pub(super) fn is_avoided(&self, now: Instant) -> bool {
+        now < self.avoided_until
     }
 
     /// Returns whether one more request would have to wait for a slot.
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -49,6 +49,7 @@
         priority: 1,
         large_response: false,
         request_bytes: 0,
+        retryable: true,
         random: 0.5,
     }
 }
@@ -115,6 +116,7 @@
     let busy = Load {
         running: 6,
         waiting: 12,
+        pace: None,
     };
     served(&mut fleet, "far", 60, None);
     served(&mut fleet, "near", 60, Some(busy));
@@ -152,6 +154,7 @@
     let load = Load {
         running: 6,
         waiting: 20,
+        pace: None,
     };
     served(&mut fleet, "full", 50, Some(load));
     assert_eq!(
@@ -167,6 +170,7 @@
     let load = Load {
         running: 6,
         waiting: 200,
+        pace: None,
     };
     served(&mut fleet, "only", 60, Some(load));
     let Err(Refusal::Overloaded(after)) = fleet.pick(&criteria(&[]), &|_| true, NOW) else {
@@ -182,6 +186,7 @@
     let load = Load {
         running: 6,
         waiting: 30,
+        pace: None,
     };
     served(&mut fleet, "only", 100, Some(load));
     let urgent = Criteria {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -256,7 +256,7 @@
                     guard.finish(AttemptClass::Unreachable, None, 0);
                     return Outcome::NotSent(text);
                 }
-                guard.finish(AttemptClass::Failed, None, 0);
+                guard.finish(AttemptClass::Reset, None, 0);
                 return Outcome::Unknown(text);
             }
         }
--- a/crates/edge/src/routed/choice.rs
+++ b/crates/edge/src/routed/choice.rs
@@ -29,6 +29,7 @@
             priority: self.route.priority,
             large_response: self.route.kind == Kind::Download,
             request_bytes: self.content.body.len(),
+            retryable: self.content.retryable,
             random: rand::random(),
         }
     }
