Try unreachable servers at a rate that a cold server bears

A server to which connections fail may have restarted, and until its entry says so all hosts returned to it after 1.6 s at most. Where the bound is in force, a host now tries it with one request at a time, at intervals that keep all hosts together at the rate of the limit; they are spread, since hosts fail at the same time. This ends with a change of the entry, once the store has confirmed the entry 1 s after the server was reached, or after the warm-up time. A connection that is accepted and then reset is no such sign, since full servers do that.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -157,6 +157,9 @@
     baselines: HashMap<String, estimate::Baseline>,
     lag: Duration,
     limits: warmup::Limits,
+    hosts: u32,
+    /// Time as of which the store confirmed the entries.
+    confirmed_at: Instant,
     shares: Shares,
 }
 
@@ -171,6 +174,8 @@
             baselines: HashMap::new(),
             lag: Duration::ZERO,
             limits: warmup::Limits::new(),
+            hosts: warmup::ASSUMED_HOSTS,
+            confirmed_at: Instant::ZERO,
             shares: Shares::default(),
         }
     }
@@ -217,6 +222,7 @@
                 superseded: false,
                 denied_until: None,
                 cold_until: now + entry.warmup,
+                suspicion: None,
                 estimate,
                 entry,
             };
@@ -386,6 +392,7 @@
         server
             .estimate
             .record_ended(observation, baseline, server.entry.slots, now);
+        self.note_attempt(id, observation.class, now);
     }
 
     /// Returns the processing times collected since the last call, by backend server.
--- a/crates/dispatch/src/fleet/estimate.rs
+++ b/crates/dispatch/src/fleet/estimate.rs
@@ -37,6 +37,9 @@
     Failed,
     /// The server could not be reached.
     Unreachable,
+    /// The server accepted the connection and closed it before the request was written; a full one
+    /// does so.
+    Reset,
     /// The caller disconnected, or the request timed out.
     Abandoned,
 }
@@ -206,7 +209,7 @@
                 self.record_failure();
                 self.unreachable_count = 0;
             }
-            AttemptClass::Unreachable => self.record_unreachable(now),
+            AttemptClass::Unreachable | AttemptClass::Reset => self.record_unreachable(now),
             AttemptClass::Abandoned => {}
         }
     }
--- a/crates/dispatch/src/fleet/server.rs
+++ b/crates/dispatch/src/fleet/server.rs
@@ -5,6 +5,7 @@
 use tarragon_model::time::Instant;
 
 use super::estimate::Estimate;
+use super::warmup::Suspicion;
 use super::{Entry, Pick};
 
 /// Fraction of the drain time during which requests are sent to a leaving server. The rest covers
@@ -42,6 +43,8 @@
     pub(super) denied_until: Option<Instant>,
     /// Time until which the server is cold by its entry.
     pub(super) cold_until: Instant,
+    /// Set while the server may have restarted without its entry telling so.
+    pub(super) suspicion: Option<Suspicion>,
     pub(super) estimate: Estimate,
 }
 
--- a/crates/dispatch/src/fleet/warmup.rs
+++ b/crates/dispatch/src/fleet/warmup.rs
@@ -1,11 +1,12 @@
 //! Which backend servers are cold, and whether this host may send requests to them.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use tarragon_model::time::Instant;
 
-use super::{Criteria, Entry, Fleet, Pick, Refusal, Server};
+use super::{AttemptClass, Criteria, Entry, Fleet, Pick, Refusal, Server};
 use crate::warmup::Limit;
 use crate::warmup::allocation::Cold;
 use crate::warmup::share::Share;
@@ -18,6 +19,24 @@
 /// keys move, within some reports of the hosts.
 pub const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Number of hosts assumed until [`Fleet::set_surroundings`] is called.
+pub const ASSUMED_HOSTS: u32 = 16;
+/// Time after its start within which a server's entry is in the store; 0.87 s at most.
+const ENTRY_DELAY: Duration = Duration::from_secs(1);
+/// Pause after the first failure to reach a server.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Attempts to reach a server that may have restarted without its entry telling so.
+#[derive(Debug)]
+pub(super) struct Suspicion {
+    /// Number of attempts in a row that failed to reach it.
+    failures: u32,
+    /// When one request may try it again.
+    next_probe: Instant,
+    /// When it was first reached again.
+    reached_at: Option<Instant>,
+}
+
 /// Permission for one request to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Slot {
@@ -33,6 +52,13 @@
         self.limits = limits;
     }
 
+    /// Sets the number of hosts that send to the same servers, and the time as of which the store
+    /// confirmed the entries.
+    pub fn set_surroundings(&mut self, hosts: u32, confirmed_at: Instant) {
+        self.hosts = hosts;
+        self.confirmed_at = confirmed_at;
+    }
+
     /// Returns whether requests to cold servers of any service are limited.
     #[must_use]
     pub fn limits_warmup(&self) -> bool {
@@ -71,11 +97,15 @@
         }
     }
 
-    /// Returns whether one more request may be sent to a server, as far as its being cold decides.
+    /// Returns whether one more request may be sent to a server, as far as it is cold or may be.
     #[must_use]
     pub fn admits(&self, server: &Server, now: Instant) -> bool {
         let entry = &server.entry;
-        !self.is_cold(server, now) || self.shares.admits(&entry.id, entry.start_ms, now)
+        if self.is_cold(server, now) {
+            self.shares.admits(&entry.id, entry.start_ms, now)
+        } else {
+            !self.awaits_probe(server, now)
+        }
     }
 
     /// Returns the time after which this host may send one more request to a cold server.
@@ -83,6 +113,7 @@
     pub fn admits_after(&self, server: &Server, now: Instant) -> Duration {
         let entry = &server.entry;
         let free_at = self.shares.free_at(&entry.id, entry.start_ms, now);
+        let free_at = free_at.filter(|_| self.is_cold(server, now));
         free_at.map_or(RETRY_AFTER, |at| at.since(now))
     }
 
@@ -93,7 +124,7 @@
             return Some(Slot::Unlimited);
         };
         if !self.is_cold(server, now) {
-            return Some(Slot::Unlimited);
+            return self.probe(&pick.id, now).then_some(Slot::Unlimited);
         }
         let taken = self.shares.take(&pick.id, server.entry.start_ms, now)?;
         Some(Slot::Counted(taken))
@@ -114,6 +145,93 @@
         permitted
     }
 
+    /// Returns whether a server may have restarted unnoticed, so that it is tried only at long
+    /// intervals, and the next try is not due.
+    #[must_use]
+    pub fn awaits_probe(&self, server: &Server, now: Instant) -> bool {
+        let suspicion = self.suspicion(server, now);
+        suspicion.is_some_and(|suspicion| now < suspicion.next_probe)
+    }
+
+    /// Returns the suspicion against a server, unless it is over: the store has confirmed the entry
+    /// after a restart would have changed it, or the server would be warm again by now.
+    fn suspicion<'a>(&self, server: &'a Server, now: Instant) -> Option<&'a Suspicion> {
+        let limit = self.limits.get(&server.entry.service)?;
+        let suspicion = server.suspicion.as_ref()?;
+        let over = suspicion.reached_at.is_some_and(|reached| {
+            self.confirmed_at >= reached + ENTRY_DELAY || now >= reached + limit.time
+        });
+        (!over && !self.is_cold(server, now)).then_some(suspicion)
+    }
+
+    /// Lets one request try a server that may have restarted unnoticed, if that is due.
+    fn probe(&mut self, id: &str, now: Instant) -> bool {
+        let Some(server) = self.servers.get(id) else {
+            return true;
+        };
+        if self.suspicion(server, now).is_none() {
+            return true;
+        }
+        let due = !self.awaits_probe(server, now);
+        let interval = self.probe_interval(server, now);
+        if let Some(server) = self.servers.get_mut(id)
+            && let Some(suspicion) = server.suspicion.as_mut().filter(|_| due)
+        {
+            suspicion.next_probe = now + interval;
+        }
+        due
+    }
+
+    /// Notes the end of an attempt. After two failures to reach a server, the pauses of all hosts
+    /// together keep their attempts below the limit for a cold server.
+    pub(super) fn note_attempt(&mut self, id: &str, class: AttemptClass, now: Instant) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let limited = self.limits.contains_key(&server.entry.service);
+        if class == AttemptClass::Abandoned || !limited || self.is_cold(server, now) {
+            return;
+        }
+        let suspected = self.suspicion(server, now).is_some();
+        let interval = self.probe_interval(server, now);
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        if !suspected {
+            server.suspicion = None;
+        }
+        if class != AttemptClass::Unreachable {
+            if let Some(suspicion) = &mut server.suspicion {
+                suspicion.reached_at.get_or_insert(now);
+            }
+            return;
+        }
+        let suspicion = server.suspicion.get_or_insert(Suspicion {
+            failures: 0,
+            next_probe: now,
+            reached_at: None,
+        });
+        suspicion.failures += 1;
+        suspicion.reached_at = None;
+        let pause = if suspicion.failures == 1 {
+            FIRST_PAUSE
+        } else {
+            interval
+        };
+        suspicion.next_probe = suspicion.next_probe.max(now + pause);
+    }
+
+    /// Returns the time to the next try of a server, between half and one and a half times the mean,
+    /// so that hosts that failed at the same time do not return together.
+    fn probe_interval(&self, server: &Server, now: Instant) -> Duration {
+        let limit = self.limits.get(&server.entry.service);
+        let mean = limit.map_or(Duration::ZERO, |limit| limit.probe_interval(self.hosts));
+        let mut hasher = DefaultHasher::new();
+        (&server.entry.id, now.as_micros()).hash(&mut hasher);
+        let percent = 50 + u32::try_from(hasher.finish() % 100).unwrap_or_default();
+        mean.saturating_mul(percent) / 100
+    }
+
     /// Returns why no server was chosen.
     pub(super) fn refusal(&self, criteria: &Criteria<'_>, now: Instant) -> Refusal {
         let servers = self.servers.values();
@@ -134,6 +252,7 @@
     /// server turned cold.
     pub(super) fn update_warmup(&mut self, entry: &Entry, limited: bool, now: Instant) -> bool {
         let was_cold = now < self.cold_until;
+        self.suspicion = None;
         self.cold_until = now + entry.warmup;
         if limited {
             self.estimate.set_warmup(self.cold_until);
--- a/crates/dispatch/src/warmup.rs
+++ b/crates/dispatch/src/warmup.rs
@@ -42,28 +42,32 @@
     pub count: u32,
     /// Time over which requests are counted.
     pub window: Duration,
+    /// Time for which a server stays cold after its start.
+    pub time: Duration,
 }
 
 impl Limit {
-    /// Returns the limit for a server that bears `per_s` requests per second.
+    /// Returns the limit for the cold servers of a service.
     ///
     /// The limit is at most half the bound, but one request in any case: without requests a server
     /// would never fill its caches.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tarragon_dispatch::warmup::{Bound, Limit};
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
     ///
+    /// let rate = |per_s| Rate { per_s, time: Duration::from_secs(20) };
     /// let bound = Bound { overrun: 1.5, slack: 8.0 };
-    /// let limit = Limit::new(6.5, bound);
+    /// let limit = Limit::new(rate(6.5), bound);
     /// assert_eq!((limit.count, limit.window), (6, Duration::from_secs(1)));
-    /// let limit = Limit::new(0.25, bound);
+    /// let limit = Limit::new(rate(0.25), bound);
     /// assert_eq!((limit.count, limit.window), (1, Duration::from_secs(4)));
     /// let tight = Bound { overrun: 1.0, slack: 0.0 };
-    /// assert_eq!(Limit::new(6.5, tight).count, 3);
+    /// assert_eq!(Limit::new(rate(6.5), tight).count, 3);
     /// ```
     #[must_use]
-    pub fn new(per_s: f64, bound: Bound) -> Self {
+    pub fn new(rate: Rate, bound: Bound) -> Self {
+        let Rate { per_s, time } = rate;
         let half = (per_s * bound.overrun + bound.slack) / SENDERS;
         #[expect(
             clippy::cast_possible_truncation,
@@ -71,12 +75,13 @@
             reason = "casts of floating-point numbers saturate"
         )]
         let count = (per_s.min(half) as u32).max(1);
-        let time = Duration::try_from_secs_f64(f64::from(count) / per_s).unwrap_or(Duration::MAX);
+        let window = Duration::try_from_secs_f64(f64::from(count) / per_s);
         Self {
             per_s,
             bound,
             count,
-            window: time.max(BOUND_WINDOW),
+            window: window.unwrap_or(Duration::MAX).max(BOUND_WINDOW),
+            time,
         }
     }
 
@@ -84,7 +89,8 @@
     #[must_use]
     pub fn with_rate(&self, per_s: f64) -> Self {
         if per_s.is_finite() && per_s > 0.0 {
-            Self::new(per_s, self.bound)
+            let time = self.time;
+            Self::new(Rate { per_s, time }, self.bound)
         } else {
             *self
         }
--- a/crates/dispatch/src/warmup/allocation.rs
+++ b/crates/dispatch/src/warmup/allocation.rs
@@ -85,10 +85,11 @@
     /// use std::time::Duration;
     /// use std::collections::HashMap;
     /// use tarragon_dispatch::warmup::allocation::{Allocation, Cold, Report};
-    /// use tarragon_dispatch::warmup::{Bound, Limit};
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
     /// use tarragon_model::time::Instant;
     ///
-    /// let limit = Limit::new(6.5, Bound { overrun: 1.5, slack: 8.0 });
+    /// let rate = Rate { per_s: 6.5, time: Duration::from_secs(20) };
+    /// let limit = Limit::new(rate, Bound { overrun: 1.5, slack: 8.0 });
     /// let cold = Cold { server: "x", start_ms: 1, zone: "a1", limit };
     /// let report = Report { host: "h/1", zone: "a1", clock: Instant::from_millis(1) };
     /// let elected = Instant::from_millis(60_000);
--- a/crates/dispatch/src/warmup/share.rs
+++ b/crates/dispatch/src/warmup/share.rs
@@ -67,11 +67,12 @@
     /// ```
     /// use std::time::Duration;
     /// use tarragon_dispatch::warmup::share::{Share, Shares, VALIDITY};
-    /// use tarragon_dispatch::warmup::{Bound, Limit};
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
     /// use tarragon_model::time::Instant;
     ///
     /// let now = Instant::from_millis(60_000);
-    /// let limit = Limit::new(6.5, Bound { overrun: 1.5, slack: 8.0 });
+    /// let rate = Rate { per_s: 6.5, time: Duration::from_secs(20) };
+    /// let limit = Limit::new(rate, Bound { overrun: 1.5, slack: 8.0 });
     /// let mut shares = Shares::default();
     /// shares.grant("x", 1, limit, now, now);
     /// let sent = (0..10).filter_map(|_| shares.take("x", 1, now));
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -302,6 +302,7 @@
     fn tick(&mut self) {
         let now = self.state.now();
         self.count_hosts(now);
+        self.update_surroundings(now);
         if self.cluster.store_unavailable() {
             self.request_state(None);
         }
--- a/crates/edge/src/election/warmup.rs
+++ b/crates/edge/src/election/warmup.rs
@@ -37,6 +37,14 @@
         (ticked && !elected.paused).then_some(elected.term.0)
     }
 
+    /// Tells the fleet what limits attempts to reach a server that may have restarted.
+    pub(super) fn update_surroundings(&self, now: Instant) {
+        let confirmed_at = now - self.cluster.age(now);
+        let hosts = self.state.host_count.get();
+        let mut fleet = self.state.fleet.borrow_mut();
+        fleet.set_surroundings(hosts, confirmed_at);
+    }
+
     /// Responds to the report of a host with the shares that it may use.
     ///
     /// A host of the previous build reports no clock and limits nothing, so it gets no share.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -234,7 +234,7 @@
         set_deadline(outbound.headers_mut(), names, deadline);
         let Some(handover) = Handover::new(state, pick, deadline).map(Rc::new) else {
             connection.recycle(None);
-            return Outcome::NotSent("no share of the cold server".to_owned());
+            return Outcome::NotSent("a cold server, or one tried lately".to_owned());
         };
         connection.restrict(handover.clone());
         match connection.send(outbound).await {
@@ -244,7 +244,7 @@
             // The server had closed the idle connection. Nothing was sent, so another one is tried.
             Err((Some(unsent), _)) if connection.reused => outbound = unsent,
             Err((Some(_), text)) => {
-                guard.finish(AttemptClass::Unreachable, None, 0);
+                guard.finish(AttemptClass::Reset, None, 0);
                 return Outcome::NotSent(text);
             }
             Err((None, text)) if handover.is_withheld() => {
@@ -256,7 +256,7 @@
                     connection.note_reset();
                 }
                 if !handover.is_written() {
-                    guard.finish(AttemptClass::Unreachable, None, 0);
+                    guard.finish(AttemptClass::Reset, None, 0);
                     return Outcome::NotSent(text);
                 }
                 guard.finish(AttemptClass::Failed, None, 0);
--- a/crates/edge/src/routed/holder.rs
+++ b/crates/edge/src/routed/holder.rs
@@ -125,7 +125,7 @@
             if server.is_denied(now) {
                 return Some(Holder::Denied);
             }
-            if server.is_unreachable(now) {
+            if server.is_unreachable(now) || fleet.awaits_probe(server, now) {
                 return Some(Holder::Unreachable);
             }
             if !fleet.admits(server, now) {
--- a/crates/edge/src/warmup.rs
+++ b/crates/edge/src/warmup.rs
@@ -15,7 +15,7 @@
             let services = catalog.services.iter();
             limits.extend(services.filter_map(|service| {
                 let rate = service.warmup?;
-                Some((service.name.clone(), Limit::new(rate.per_s, bound)))
+                Some((service.name.clone(), Limit::new(rate, bound)))
             }));
         }
         self.fleet.borrow_mut().set_warmup_limits(limits);
