--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -164,6 +164,9 @@
     lag: Duration,
     evacuation: evacuation::Zones,
     limits: warmup::Limits,
+    hosts: u32,
+    /// Time as of which the store confirmed the entries.
+    confirmed_at: Instant,
     shares: Shares,
 }
 
@@ -180,6 +183,8 @@
             lag: Duration::ZERO,
             evacuation: evacuation::Zones::default(),
             limits: warmup::Limits::new(),
+            hosts: warmup::ASSUMED_HOSTS,
+            confirmed_at: Instant::ZERO,
             shares: Shares::default(),
         }
     }
@@ -226,6 +231,7 @@
                 superseded: false,
                 denied_until: None,
                 cold_until: now + entry.warmup,
+                suspicion: None,
                 estimate,
                 entry,
             };
@@ -404,6 +410,7 @@
         server
             .estimate
             .record_ended(observation, baseline, server.entry.slots, now);
+        self.note_attempt(id, observation.class, now);
     }
 
     /// Returns the processing times collected since the last call, by backend server.
--- a/crates/edge/src/warmup.rs
+++ b/crates/edge/src/warmup.rs
@@ -15,8 +15,7 @@
             let services = catalog.services.iter();
             limits.extend(services.filter_map(|service| {
                 let rate = service.warmup?;
-                let limit = Limit::new(rate.per_s, bound).with_time(rate.time);
-                Some((service.name.clone(), limit))
+                Some((service.name.clone(), Limit::new(rate, bound)))
             }));
         }
         self.fleet.borrow_mut().set_warmup_limits(limits);
