--- a/crates/edge/src/routed/holder.rs
+++ b/crates/edge/src/routed/holder.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tarragon_dispatch::denial::Verdict;
-use tarragon_dispatch::fleet::Fleet;
+use tarragon_dispatch::fleet::Server;
 use tokio::time::Instant;
 
 use super::{DEFAULT_RETRY_AFTER, Failure, Request, Target, append};
@@ -102,13 +102,16 @@
         }
     }
 
-    /// Returns whether a server that may process the request can get its key.
-    fn may_get_holder(&self, fleet: &Fleet) -> bool {
-        fleet.iter().any(|server| {
+    /// Returns whether all servers that could get the key are in zones under evacuation.
+    fn is_evacuated(&self) -> bool {
+        let fleet = self.state.fleet.borrow();
+        let mut servers = fleet.iter().filter(|server| {
             server.entry.service == self.service
-                && fleet.accepts_keys(server)
+                && server.accepts_keys()
                 && self.homes.allow(fleet.region(&server.entry.zone))
-        })
+        });
+        let is_evacuated = |server: &Server| !fleet.accepts_keys(server);
+        servers.next().is_some_and(is_evacuated) && servers.all(is_evacuated)
     }
 
     /// Returns what this host knows of the holder of a key.
@@ -121,7 +124,10 @@
             (range.cloned(), known.map.version, age)
         });
         let Some((range, version, age_ms)) = found else {
-            return Found::default();
+            return Found {
+                holder: self.is_evacuated().then_some(Holder::Evacuated),
+                ..Found::default()
+            };
         };
         let holder = range.and_then(|range| {
             let fleet = state.fleet.borrow();
@@ -134,7 +140,7 @@
                 return Some(Holder::NotHome);
             }
             if !fleet.may_receive(server, true, now) {
-                return (!self.may_get_holder(&fleet)).then_some(Holder::Evacuated);
+                return None;
             }
             if server.is_denied(now) {
                 return Some(Holder::Denied);
@@ -155,8 +161,9 @@
                 Verdict::Refuse => Holder::Denied,
             })
         });
+        let unavailable = || self.is_evacuated().then_some(Holder::Evacuated);
         Found {
-            holder,
+            holder: holder.or_else(unavailable),
             version,
             age_ms,
         }
