Test the news of evacuations

Cause: nothing tested how hosts learn of an evacuation and what they send then.

The store of the tests lists and watches what was written to it.

--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -132,8 +132,13 @@
 
 /// Like [`state`], on a platform.
 pub fn state_of(platform: Box<dyn Platform>) -> State {
+    State::new(settings(), platform, 1)
+}
+
+/// Returns the settings of a host on a platform without limits on cold servers or evacuations.
+pub fn settings() -> Settings {
     let local = || "127.0.0.1:0".parse().unwrap();
-    let settings = Settings {
+    Settings {
         host: "host".to_owned(),
         zone: "z".to_owned(),
         regions: HashMap::new(),
@@ -158,8 +163,7 @@
             warmup: None,
             evacuation: None,
         },
-    };
-    State::new(settings, platform, 1)
+    }
 }
 
 /// Returns the entry of a ready backend server at an address.
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -1,6 +1,6 @@
 //! Store in memory that goes away and comes back, and that may list one entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -36,6 +36,8 @@
     objects: Mutex<BTreeMap<(String, String), (Version, Value)>>,
     revision: Mutex<u64>,
     calls: AtomicU32,
+    /// Kinds of the objects that were listed.
+    kinds: Mutex<BTreeSet<String>>,
 }
 
 impl Store {
@@ -48,6 +50,7 @@
             objects: Mutex::default(),
             revision: Mutex::new(1),
             calls: AtomicU32::new(0),
+            kinds: Mutex::default(),
         }
     }
 
@@ -77,6 +80,27 @@
         Error::new(Operation::Get, "object", "test", kind)
     }
 
+    /// Returns the kinds of the objects that were listed so far.
+    pub fn listed_kinds(&self) -> BTreeSet<String> {
+        self.kinds.lock().unwrap().clone()
+    }
+
+    /// Returns the objects of a kind that were written after a revision.
+    fn written(&self, kind: &str, after: Version) -> Vec<Object> {
+        let objects = self.objects.lock().unwrap();
+        let later = objects
+            .iter()
+            .filter(|((of, _), (v, _))| of == kind && *v > after);
+        let object =
+            |((kind, name), (version, value)): (&(String, String), &(Version, Value))| Object {
+                kind: kind.clone(),
+                name: name.clone(),
+                version: *version,
+                value: value.clone(),
+            };
+        later.map(object).collect()
+    }
+
     /// Returns the number of lists and watches so far.
     pub fn calls(&self) -> u32 {
         self.calls.load(Ordering::SeqCst)
@@ -133,10 +157,12 @@
         self.calls.fetch_add(1, Ordering::SeqCst);
         Box::pin(async move {
             self.check_available()?;
+            self.kinds.lock().unwrap().insert(kind.to_owned());
             let entry = self.entry.iter().filter(|entry| entry.kind == kind);
+            let written = self.written(kind, Version::ABSENT);
             Ok(List {
                 revision: Version(*self.revision.lock().unwrap()),
-                items: entry.cloned().collect(),
+                items: entry.cloned().chain(written).collect(),
             })
         })
     }
@@ -183,12 +209,16 @@
                 version: Version(after.0 + 1),
                 ..entry.clone()
             });
+            let written = self.written(kind, after);
+            let revision = written.iter().map(|object| object.version).max();
+            let revision = revision.unwrap_or(Version(after.0 + u64::from(removed.is_some())));
+            let deleted = |deleted| move |object| Change { deleted, object };
+            let changes = removed.into_iter().map(deleted(true));
             Ok(Changes {
-                revision: Version(after.0 + u64::from(removed.is_some())),
-                changes: Vec::from_iter(removed.map(|object| Change {
-                    deleted: true,
-                    object,
-                })),
+                revision,
+                changes: changes
+                    .chain(written.into_iter().map(deleted(false)))
+                    .collect(),
             })
         })
     }
