--- a/crates/dispatch/src/fleet/estimate.rs
+++ b/crates/dispatch/src/fleet/estimate.rs
@@ -43,7 +43,7 @@
     Unreachable,
     /// The server accepted the connection and closed it before the request was written; a full one
     /// does so.
-    Reset,
+    Closed,
     /// The caller disconnected, or the request timed out.
     Abandoned,
 }
@@ -237,7 +237,7 @@
                 self.record_failure();
                 self.unreachable_count = 0;
             }
-            AttemptClass::Unreachable | AttemptClass::Reset => self.record_unreachable(now),
+            AttemptClass::Unreachable | AttemptClass::Closed => self.record_unreachable(now),
             AttemptClass::Abandoned => {}
         }
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -247,7 +247,7 @@
             // The server had closed the idle connection. Nothing was sent, so another one is tried.
             Err((Some(unsent), _)) if connection.reused => outbound = unsent,
             Err((Some(_), text)) => {
-                guard.finish(AttemptClass::Reset, None, 0);
+                guard.finish(AttemptClass::Closed, None, 0);
                 return Outcome::NotSent(text);
             }
             Err((None, text)) if handover.is_withheld() => {
@@ -259,7 +259,7 @@
                     connection.note_reset();
                 }
                 if !handover.is_written() {
-                    guard.finish(AttemptClass::Reset, None, 0);
+                    guard.finish(AttemptClass::Closed, None, 0);
                     return Outcome::NotSent(text);
                 }
                 guard.finish(AttemptClass::Reset, None, 0);
