--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -59,6 +59,7 @@
             priority: 0,
             large_response: false,
             request_bytes: 0,
+            retryable: true,
             random,
         };
         fleet.pick(&criteria, &|_| true, NOW)
