Give the keys of restricted services to servers at home

The granter placed keys by load alone, so a request bound to regions found its holder elsewhere and was rejected. Candidates are now the servers in the regions that all routes to the service allow; without any, all of them, with a log line.

--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -29,6 +29,7 @@
 pub mod command;
 mod delay;
 mod departure;
+mod homes;
 mod plans;
 mod report;
 mod warmup;
@@ -169,6 +170,7 @@
     /// Until when no other host can have been elected. Unlike `send_until`, only the store tells.
     exclusive_until: Instant,
     delays: delay::Monitor,
+    homes_unmet: homes::Unmet,
 }
 
 impl Grants {
@@ -196,6 +198,7 @@
             send_until: Rc::new(Cell::new(Instant::ZERO)),
             exclusive_until: Instant::ZERO,
             delays: delay::Monitor::default(),
+            homes_unmet: homes::Unmet::default(),
         }
     }
 
@@ -351,7 +354,12 @@
                 && !self.is_unreachable(&server.entry.id, now)
         });
         let speeds = self.services.get(name).map(|service| &service.speeds);
-        let servers = warmup::warm_or_all(&fleet, servers, now);
+        let homes = self.state.catalog().homes(name);
+        let revision = self.state.catalog_revision();
+        let servers =
+            self.homes_unmet
+                .servers_at_home(&fleet, (name, &homes, revision), servers.collect());
+        let servers = warmup::warm_or_all(&fleet, servers.into_iter(), now);
         let candidates = servers.into_iter().map(|server| {
             let slowness = speeds.map_or(1.0, |speeds| speeds.slowness(&server.entry.id));
             let cold = server.known_for(now) < COLD_TIME && !server.entry.warmup.is_zero();
