--- a/crates/dispatch/tests/warmup.rs
+++ b/crates/dispatch/tests/warmup.rs
@@ -3,10 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use tarragon_dispatch::fleet::warmup::Slot;
 use tarragon_dispatch::fleet::{
-    AttemptClass, Change, Criteria, Entry, Fleet, Location, Observation,
+    AttemptClass, Change, Criteria, Entry, Fleet, Location, Observation, Refusal,
 };
 use tarragon_dispatch::homes::Homes;
+use tarragon_dispatch::warmup::allocation::{Allocation, Cold, Report};
+use tarragon_dispatch::warmup::share::Share;
 use tarragon_dispatch::warmup::{Bound, Limit, Rate};
 use tarragon_model::time::Instant;
 
@@ -149,3 +152,127 @@
         "{returned} in a second after the store is back"
     );
 }
+
+/// Guards against requests to a cold server beyond this host's share, whether chosen, sent, or
+/// written after the server has turned cold.
+#[test]
+fn a_cold_server_gets_what_the_share_allows() {
+    let mut fleet = fleet(true);
+    fleet.update(entry(1, 0), 1, NOW);
+    let pick = fleet.pick(&criteria(), &|_| true, NOW).unwrap();
+    let mut slot = fleet.reserve(&pick, NOW).unwrap();
+    fleet.update(entry(1, 9_000), 2, NOW);
+    assert!(
+        !fleet.confirm(&pick, &mut slot, NOW),
+        "cold before the write"
+    );
+    let refused = fleet.pick(&criteria(), &|_| true, NOW);
+    assert!(matches!(refused, Err(Refusal::Cold(_))), "{refused:?}");
+    assert_eq!(fleet.reserve(&pick, NOW), None);
+    let share = Share {
+        server: "x".to_owned(),
+        start_ms: 1,
+        per_s: 6.5,
+    };
+    fleet.grant_share(&share, NOW, NOW);
+    let slots: Vec<Slot> = (0..9).filter_map(|_| fleet.reserve(&pick, NOW)).collect();
+    assert_eq!(slots, [Slot::Counted(NOW); 6]);
+    let written = NOW + Duration::from_millis(200);
+    assert!(fleet.confirm(&pick, &mut slots.clone()[0], written));
+    // The first slot is free one second after the five others were taken.
+    let second = NOW + Duration::from_secs(1);
+    let refused = fleet.pick(&criteria(), &|_| true, second - Duration::from_millis(100));
+    assert_eq!(refused, Err(Refusal::Cold(Duration::from_millis(100))));
+    let slots = (0..9).filter_map(|_| fleet.reserve(&pick, second));
+    assert_eq!(slots.count(), 5);
+    fleet.update(entry(2, 9_000), 3, second);
+    assert_eq!(
+        fleet.reserve(&pick, second + Duration::from_millis(500)),
+        None
+    );
+}
+
+fn allocation<'a>(zones: impl Iterator<Item = (&'a str, &'a str)>) -> Allocation {
+    let mut allocation = Allocation::new(NOW - Duration::from_secs(10));
+    for (host, zone) in zones {
+        let clock = Instant::from_millis(1);
+        allocation.report(Report { host, zone, clock }, NOW);
+    }
+    allocation
+}
+
+fn choices(allocation: &mut Allocation, servers: &[String], now: Instant) -> Vec<String> {
+    let limit = Limit::new(RATE, BOUND);
+    let regions = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    let cold = servers.iter().map(|server| Cold {
+        server,
+        start_ms: 1,
+        zone: "a1",
+        limit,
+    });
+    let chosen = allocation.update(cold, &HashMap::from(regions), now);
+    chosen.into_iter().map(|choice| choice.host).collect()
+}
+
+/// Guards against a distant sender where there is a nearer one, and against a cold server without a
+/// sender where there is any host.
+#[test]
+fn the_nearest_host_sends() {
+    type Hosts = &'static [(&'static str, &'static str)];
+    let table: [(Hosts, &[&str]); 5] = [
+        (&[("x", "b1"), ("y", "a2"), ("z", "a1")], &["z"]),
+        (&[("x", "b1"), ("y", "a2")], &["y"]),
+        (&[("x", "b1")], &["x"]),
+        (&[("x", "unknown")], &["x"]),
+        (&[], &[]),
+    ];
+    for (hosts, expected) in table {
+        let mut allocation = allocation(hosts.iter().copied());
+        let chosen = choices(&mut allocation, &["s".to_owned()], NOW);
+        assert_eq!(chosen, expected, "{hosts:?}");
+    }
+}
+
+/// Guards against cold servers that crowd on a few hosts of their zone.
+#[test]
+fn senders_are_spread_over_the_hosts_of_a_zone() {
+    let hosts: Vec<String> = (0..10).map(|host| format!("h{host}/1")).collect();
+    let mut allocation = allocation(hosts.iter().map(|host| (host.as_str(), "a1")));
+    let servers: Vec<String> = (0..200).map(|server| format!("s{server}")).collect();
+    let chosen = choices(&mut allocation, &servers, NOW);
+    assert_eq!(chosen.len(), 200);
+    for host in hosts {
+        let count = chosen.iter().filter(|chosen| **chosen == host).count();
+        assert!((8..=36).contains(&count), "{host} sends to {count}");
+    }
+}
+
+/// Guards against two senders while the share of a host that went silent may be in use, and against
+/// a server that stays without one after that.
+#[test]
+fn a_silent_sender_is_replaced_after_its_share_has_expired() {
+    let mut allocation = allocation([("x", "a1")].into_iter());
+    let servers = ["s".to_owned()];
+    assert_eq!(choices(&mut allocation, &servers, NOW), ["x"]);
+    assert!(
+        allocation
+            .renew("x", NOW)
+            .is_some_and(|(_, shares)| shares.len() == 1)
+    );
+    for (ms, expected) in [(1_500, None), (2_950, None), (3_000, Some("y"))] {
+        let now = NOW + Duration::from_millis(ms);
+        let report = Report {
+            host: "y",
+            zone: "a1",
+            clock: now,
+        };
+        allocation.report(report, now);
+        let chosen = choices(&mut allocation, &servers, now);
+        assert_eq!(
+            chosen.first().map(String::as_str),
+            expected,
+            "after {ms} ms"
+        );
+    }
+}
--- a/crates/edge/tests/common/router.rs
+++ b/crates/edge/tests/common/router.rs
@@ -50,7 +50,8 @@
     local.run_until(test(Router { state, address })).await
 }
 
-fn catalog(kind: Kind, keyed: bool) -> Catalog {
+/// Returns a catalog with one route to the service `s`.
+pub fn catalog(kind: Kind, keyed: bool) -> Catalog {
     Catalog {
         version: 1,
         routes: vec![Route {
