Make the tests of evacuations independent of the machine's load

Cause: beside builds, the test of a request that waited for a connection failed once, since the connection came free 50 ms later by a timer; two tests told a refusal at once from one after a wait by its time.

Change: the connection comes free while the request waits, whatever the time; refusals are told apart by their reason; one assertion more checks the age.

--- a/crates/edge/tests/evacuations.rs
+++ b/crates/edge/tests/evacuations.rs
@@ -34,8 +34,9 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Returns the state of a host on a platform that evacuates zones.
-fn evacuating() -> Rc<State> {
+fn evacuating(first_start: bool) -> Rc<State> {
     let mut settings = settings();
+    settings.first_start = first_start;
     settings.bounds.evacuation = Some(BOUND);
     Rc::new(State::new(settings, Box::new(Plain::new()), 1))
 }
@@ -83,7 +84,7 @@
 #[tokio::test]
 async fn without_a_bound_the_kind_is_not_listed() {
     let test = async {
-        for (state, listed) in [(Rc::new(state()), false), (evacuating(), true)] {
+        for (state, listed) in [(Rc::new(state()), false), (evacuating(false), true)] {
             let store = Rc::new(Store::new());
             follow(&state, &store);
             sleep(SECOND / 2).await;
@@ -100,10 +101,18 @@
 #[tokio::test]
 async fn a_host_whose_granter_is_lost_asks_the_store() {
     let test = async {
-        let (state, store) = (evacuating(), Rc::new(Store::new()));
+        // At the first start of the system, a host leaves the store to the granter for a while.
+        let (state, store) = (evacuating(true), Rc::new(Store::new()));
         let cluster = follow(&state, &store);
         cluster.apply_evacuations(&state, &set(1, &[]));
+        tokio::task::yield_now().await;
+        cluster.confirm_relayed(Duration::ZERO, state.now());
+        assert!(
+            cluster.age(state.now()) > SECOND,
+            "the zones are not confirmed"
+        );
         cluster.confirm_relayed_evacuations(Duration::ZERO, state.now());
+        assert!(cluster.age(state.now()) < SECOND);
         evacuate(&store).await;
         assert!(
             !learns_within(&state, SECOND / 2).await,
@@ -120,7 +129,7 @@
 #[tokio::test]
 async fn a_store_that_goes_away_after_the_acknowledgement_gives_no_more_time() {
     let test = async {
-        let (state, store) = (evacuating(), Rc::new(Store::new()));
+        let (state, store) = (evacuating(false), Rc::new(Store::new()));
         let cluster = follow(&state, &store);
         sleep(SECOND / 2).await;
         evacuate(&store).await;
@@ -143,7 +152,7 @@
 /// Guards against a host that starts during an evacuation and serves before it knows of it.
 #[tokio::test]
 async fn a_starting_host_is_not_ready_before_it_knows_the_zones() {
-    let (state, cluster) = (evacuating(), Cache::default());
+    let (state, cluster) = (evacuating(false), Cache::default());
     add_keyed_service(&state);
     state.update_server(entry_at("a", ([127, 0, 0, 1], 9).into()), 1);
     assert!(!process::is_ready(&state));
@@ -234,7 +243,7 @@
 #[tokio::test]
 async fn the_granter_moves_the_keys_with_their_handover() {
     let test = async {
-        let (state, store) = (evacuating(), Rc::new(Store::new()));
+        let (state, store) = (evacuating(false), Rc::new(Store::new()));
         add_keyed_service(&state);
         let (events, incoming) = mpsc::channel(16);
         let links = Links::new(state.clone(), events);
@@ -305,33 +314,25 @@
             may_open: true,
         };
         let connection = state.pool.acquire("a", pick.addr, need).await.unwrap();
-        let (request, other) = (request(), state.clone());
+        let second = Requirements {
+            max_connections: 2,
+            ..need
+        };
+        let _second = state.pool.acquire("a", pick.addr, second).await.unwrap();
+        let other = state.clone();
+        // The task runs while the request waits for one of the two connections.
         tokio::task::spawn_local(async move {
-            sleep(Duration::from_millis(50)).await;
             evacuation::apply(&other, &set(7, &["z"]), other.now());
             connection.recycle(None);
         });
         let deadline = Instant::now() + SECOND;
-        let second = state.pool.acquire(
-            "a",
-            pick.addr,
-            Requirements {
-                max_connections: 2,
-                ..need
-            },
-        );
-        let _second = second.await.unwrap();
-        let attempt = relay::send(&state, &request, &pick, 1, &[], deadline).await;
-        assert!(
-            matches!(attempt.outcome, Outcome::NotSent(_)),
-            "{}",
-            attempt.outcome.name()
-        );
-        // Without another server, the next request is refused at once.
-        let (mut caller, began) = (router.connect().await, Instant::now());
+        let attempt = relay::send(&state, &request(), &pick, 1, &[], deadline).await;
+        let outcome = attempt.outcome.name();
+        assert!(matches!(attempt.outcome, Outcome::NotSent(_)), "{outcome}");
+        let mut caller = router.connect().await;
         caller.send("x", None, "").await;
-        assert_eq!(caller.response().await.0, 503);
-        assert!(began.elapsed() < common::router::TIMEOUT / 2);
+        let refused = (503, "no backend server".to_owned());
+        assert_eq!(caller.response().await, refused);
         assert_eq!(received.get(), 0);
     })
     .await;
@@ -372,12 +373,17 @@
             .set_bound(Some(BOUND));
         evacuation::apply(&state, &set(7, &["z"]), state.now());
         let mut caller = router.connect().await;
-        for (pause, status) in [(Duration::ZERO, 200), (BOUND * 2 / 3, 503)] {
+        let refused = (
+            503,
+            "no backend server outside the evacuated zones".to_owned(),
+        );
+        for (pause, expected) in [
+            (Duration::ZERO, (200, "a".to_owned())),
+            (BOUND * 2 / 3, refused),
+        ] {
             sleep(pause).await;
-            let began = Instant::now();
             caller.send("x", Some(7), "").await;
-            assert_eq!(caller.response().await.0, status);
-            assert!(began.elapsed() < common::router::TIMEOUT / 3, "at once");
+            assert_eq!(caller.response().await, expected);
         }
     })
     .await;
