Read forwarded responses ahead of their callers, and bound their time

Cause: a response over 1 MiB was read from its server only as its caller took it. A caller that stopped reading held the connection, and a slot, without end, and the server, which cuts off unread responses, counted as failing when the response of a slow caller was cut.

Change: relay::forward reads such a response in a task of its own, at most 256 KiB ahead and within the memory for bodies; without memory a frame is read when it is wanted. Once the server's time is over, the caller has to take bytes within 3 s and 64 KiB/s on average; the time for which it delayed the response is not the server's. A response without a declared length, or with one beyond the limit for bodies, may have no end and keeps its strict limits.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -36,6 +36,20 @@
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
     }
+
+    /// Returns the number of bytes that are left.
+    ///
+    /// ```
+    /// use tarragon_edge::body::{Memory, Reservation};
+    ///
+    /// let memory = Memory::of_host(400);
+    /// assert!(Reservation::new(memory.clone()).grow_to(60));
+    /// assert_eq!(memory.left(), 100);
+    /// ```
+    #[must_use]
+    pub fn left(&self) -> usize {
+        self.limit.saturating_sub(self.used())
+    }
 }
 
 /// Part of the memory that one body uses, until dropped.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,30 +1,30 @@
 //! Sends a caller's request to one backend server and receives the response.
 
-use std::cell::RefCell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue,
     TRANSFER_ENCODING,
 };
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use smallvec::SmallVec;
-use tarragon_dispatch::fleet::{AttemptClass, Fleet, Load, Observation, Pick};
+use tarragon_dispatch::fleet::{AttemptClass, Load, Observation, Pick};
 use tokio::time::Instant;
 
+use self::forward::{Limit, stream_body};
 use self::handover::Handover;
 use crate::body::Reservation;
 use crate::platform::Headers;
 use crate::pool::{self, Connection, Permit, Requirements, Serial};
 use crate::state::State;
 
+mod forward;
 mod handover;
 
 /// Error that interrupts a response body.
@@ -384,7 +384,10 @@
         }
         Buffered::Partial(start) => {
             guard.finish(class, load, start.iter().map(Bytes::len).sum());
-            let declared = declared_length.is_some();
+            let declared = declared_length.as_ref().map(|length| {
+                let text = length.to_str().unwrap_or_default();
+                text.parse().unwrap_or(u64::MAX)
+            });
             if let Some(length) = declared_length {
                 headers.insert(CONTENT_LENGTH, length);
             }
@@ -459,67 +462,6 @@
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
 }
 
-/// Limit on the time that a response body may take, for a server that sends without end.
-struct Limit {
-    fleet: Rc<RefCell<Fleet>>,
-    server: String,
-    end: Instant,
-}
-
-impl Limit {
-    /// Limits a body to the time for which the caller waits, and to twice that time if the server
-    /// declared its length: a late response is still delivered.
-    fn new(state: &State, server: &str, sent: Instant, deadline: Instant, declared: bool) -> Self {
-        let wait = deadline.saturating_duration_since(sent);
-        Self {
-            fleet: Rc::clone(&state.fleet),
-            server: server.to_owned(),
-            end: if declared { deadline + wait } else { deadline },
-        }
-    }
-
-    /// Waits for the next frame of a body; `None` at its end.
-    async fn next_frame(
-        &self,
-        connection: &Connection,
-        body: &mut Incoming,
-    ) -> Option<Result<Frame<Bytes>, BodyError>> {
-        let failure: BodyError =
-            match tokio::time::timeout_at(self.end, connection.next_frame(body)).await {
-                Ok(None) => return None,
-                Ok(Some(Ok(frame))) => return Some(Ok(frame)),
-                Ok(Some(Err(error))) => Box::new(error),
-                Err(_) => "the response did not end in time".into(),
-            };
-        log::warn!(
-            "event=response-cut server={} error=\"{failure}\"",
-            self.server
-        );
-        self.fleet.borrow_mut().record_failure(&self.server);
-        Some(Err(failure))
-    }
-}
-
-/// Returns a body that begins with the parts of `start` and forwards the rest of `body` as it arrives.
-///
-/// A body that breaks off or exceeds the limit ends with an error, so that the caller does not take
-/// it for complete. The connection stays checked out of the pool until the body is dropped.
-fn stream_body(
-    start: SmallVec<[Bytes; 2]>,
-    body: Incoming,
-    connection: Connection,
-    limit: Limit,
-) -> Body {
-    let first = futures::stream::iter(start.into_iter().map(|part| Ok(Frame::data(part))));
-    let rest = futures::stream::unfold(Some((body, connection, limit)), |stream| async move {
-        let (mut body, connection, limit) = stream?;
-        let frame = limit.next_frame(&connection, &mut body).await?;
-        let next = frame.is_ok().then_some((body, connection, limit));
-        Some((frame, next))
-    });
-    Box::pin(StreamBody::new(first.chain(rest)))
-}
-
 /// Whether a connection may be reused.
 enum Reuse {
     /// The server closes it.
