Disconnect callers that take nothing, and count the growth of bodies

Cause: a response that is buffered whole waited for its caller without end, and with it its part of the memory for bodies. A request body in chunks grows by doubling, which its reservation did not count.

The reservation of a body in chunks counts the capacity of its buffer.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -189,15 +189,21 @@
         if read > max_bytes {
             return Err(Error::TooLarge);
         }
-        if !reservation.grow_to(read) {
+        // Beyond the declared length, `rest` doubles its capacity when it grows.
+        let capacity = if first.is_empty() || read <= declared {
+            read
+        } else {
+            read.next_power_of_two().min(max_bytes)
+        };
+        if !reservation.grow_to(capacity) {
             return Err(Error::NoMemory);
         }
         if first.is_empty() {
             first = data;
             continue;
         }
+        rest.reserve(declared.max(capacity).saturating_sub(rest.len()));
         if rest.is_empty() {
-            rest.reserve(declared.max(read));
             rest.extend_from_slice(&first);
         }
         rest.extend_from_slice(&data);
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -31,6 +31,10 @@
 /// more frames of a response.
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// Least time without a byte taken after which a caller is disconnected. Callers wait for at most
+/// this long, and a response that is ready is delivered also when late.
+const MIN_STALL_TIME: Duration = DEFAULT_TIMEOUT;
+
 /// Time without a new connection after which a stopping process accepts no more.
 const LATE_ACCEPT_WAIT: Duration = Duration::from_millis(100);
 /// Time for which a stopping process leaves an idle connection open, for a request on its way.
@@ -85,6 +89,9 @@
 async fn connection(state: Rc<State>, stream: TcpStream) {
     let _open = OpenGuard::new(Rc::clone(&state));
     pool::set_caller_options(&stream);
+    let peer = stream
+        .peer_addr()
+        .map_or_else(|_| "-".to_owned(), |addr| addr.to_string());
     let limits = state.catalog().limits;
     let socket = Socket::new(stream);
     let service = service_fn(|request| {
@@ -108,6 +115,10 @@
     let ended = tokio::select! {
         biased;
         ended = served.as_mut() => ended,
+        () = socket.stalled(limits.idle.max(MIN_STALL_TIME)) => {
+            log::warn!("event=caller-stalled peer={peer}");
+            return;
+        }
         () = quiet_after_drain(&state) => {
             served.as_mut().graceful_shutdown();
             if served.as_mut().now_or_never().is_some() {
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -3,6 +3,7 @@
 //! The HTTP library stops reading while it buffers pipelined requests, so it does not notice that
 //! their caller has disconnected. The socket is therefore polled separately.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Interval between two checks while there are unread bytes of further requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(120);
@@ -23,13 +25,20 @@
 
 /// Caller connection whose clones read, write and watch the same socket.
 #[derive(Clone, Debug)]
-pub struct Socket(Rc<TcpStream>);
+pub struct Socket {
+    stream: Rc<TcpStream>,
+    /// Since when the caller has taken no bytes that wait to be written.
+    blocked_since: Rc<Cell<Option<Instant>>>,
+}
 
 impl Socket {
     /// Wraps an accepted connection.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
+        Self {
+            stream: Rc::new(stream),
+            blocked_since: Rc::default(),
+        }
     }
 
     /// Waits until the caller closes the connection or it fails.
@@ -38,9 +47,9 @@
     pub async fn closed(&self) {
         let mut byte = [0];
         loop {
-            match self.0.peek(&mut byte).await {
+            match self.stream.peek(&mut byte).await {
                 Ok(0) => return,
-                Ok(_) => match self.0.ready(Interest::READABLE).await {
+                Ok(_) => match self.stream.ready(Interest::READABLE).await {
                     Ok(ready) if !ready.is_read_closed() => {
                         tokio::time::sleep(POLL_INTERVAL).await;
                     }
@@ -57,6 +66,28 @@
         }
     }
 
+    /// Waits until bytes have waited for `limit` to be written, of which the caller has taken none.
+    ///
+    /// Such a caller would hold the memory of its response without end. The system reports that it
+    /// has taken bytes once a third of the send buffer is free.
+    pub async fn stalled(&self, limit: Duration) {
+        loop {
+            let blocked = self.blocked_since.get();
+            if blocked.is_some_and(|since| since.elapsed() >= limit) {
+                return;
+            }
+            tokio::time::sleep(limit / 4).await;
+        }
+    }
+
+    fn poll_writable(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let ready = self.stream.poll_write_ready(cx);
+        let since = self.blocked_since.get().unwrap_or_else(Instant::now);
+        let blocked = ready.is_pending().then_some(since);
+        self.blocked_since.set(blocked);
+        ready
+    }
+
     /// Reads and drops bytes until the caller closes the connection, for at most 2 s.
     ///
     /// The system resets a connection that is closed with unread bytes, such as further requests,
@@ -65,8 +96,8 @@
         let mut buffer = vec![0; DISCARD_BYTES];
         let discard = async {
             loop {
-                self.0.readable().await?;
-                match self.0.try_read(&mut buffer) {
+                self.stream.readable().await?;
+                match self.stream.try_read(&mut buffer) {
                     Ok(0) => return Ok(()),
                     Ok(_) => {}
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -89,8 +120,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(count) => {
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
@@ -109,8 +140,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(bytes) {
+            ready!(self.poll_writable(cx))?;
+            match self.stream.try_write(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -123,8 +154,8 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write_vectored(slices) {
+            ready!(self.poll_writable(cx))?;
+            match self.stream.try_write_vectored(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -140,6 +171,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/crates/edge/tests/connections.rs
+++ b/crates/edge/tests/connections.rs
@@ -6,7 +6,7 @@
 use tarragon_edge::socket::Socket;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time for which the caller does not read: longer than backend servers may leave bytes
 /// unacknowledged.
@@ -63,3 +63,33 @@
         .await
         .unwrap();
 }
+
+/// Guards against a caller that holds the memory of its response without end, and against the
+/// disconnection of one that reads slowly.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_is_noticed() {
+    const LIMIT: Duration = Duration::from_secs(1);
+    let (host, mut caller) = pair().await;
+    let socket = Socket::new(host);
+    let mut writer = socket.clone();
+    let response = vec![7; RESPONSE_BYTES * 2];
+    let write = async {
+        writer.write_all(&response).await.unwrap();
+    };
+    let slow = async {
+        for _ in 0..24 {
+            caller.read_exact(&mut vec![0; 1024 * 1024]).await.unwrap();
+            sleep(LIMIT / 10).await;
+        }
+    };
+    let started = Instant::now();
+    let both = async { tokio::join!(write, slow) };
+    tokio::select! {
+        () = socket.stalled(LIMIT) => {}
+        _ = both => panic!("the response was written"),
+    }
+    assert!(
+        started.elapsed() >= LIMIT * 2,
+        "the caller was still reading"
+    );
+}
