--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -36,6 +36,20 @@
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
     }
+
+    /// Returns the number of bytes that are left.
+    ///
+    /// ```
+    /// use tarragon_edge::body::{Memory, Reservation};
+    ///
+    /// let memory = Memory::of_host(400);
+    /// assert!(Reservation::new(memory.clone()).grow_to(60));
+    /// assert_eq!(memory.left(), 100);
+    /// ```
+    #[must_use]
+    pub fn left(&self) -> usize {
+        self.limit.saturating_sub(self.used())
+    }
 }
 
 /// Part of the memory that one body uses, until dropped.
@@ -175,15 +189,21 @@
         if read > max_bytes {
             return Err(Error::TooLarge);
         }
-        if !reservation.grow_to(read) {
+        // Beyond the declared length, `rest` doubles its capacity when it grows.
+        let capacity = if first.is_empty() || read <= declared {
+            read
+        } else {
+            read.next_power_of_two().min(max_bytes)
+        };
+        if !reservation.grow_to(capacity) {
             return Err(Error::NoMemory);
         }
         if first.is_empty() {
             first = data;
             continue;
         }
+        rest.reserve(declared.max(capacity).saturating_sub(rest.len()));
         if rest.is_empty() {
-            rest.reserve(declared.max(read));
             rest.extend_from_slice(&first);
         }
         rest.extend_from_slice(&data);
