Compute admitted shares of each service and priority

Cause: while a service is short of capacity, full servers refuse requests of all priorities alike, and callers are told to return at times at which they are refused again.

Change: admission.rs decides without I/O. The controller of the granter takes servers for short of capacity when they refuse over 2% of the attempts, or when a request waits per slot and over 8% take half of their objective. It then estimates the capacity from what is processed while servers are busy, aims at 0.4 waiting requests per slot, and gives the rate to the highest priority first. A request is admitted while its position, which falls with the granter's clock, is under the share; otherwise its Retry-After is when it will be. Shares expire after 2 s, counted from their computation; a frame that arrives late is recognized by the clocks.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The crate performs no I/O and reads no clock, so that tests can replay any sequence of events.
 
+pub mod admission;
 pub mod budget;
 pub mod catalog;
 pub mod denial;
