Count the crash of one process once

Callers of an ordinary request got 503 for ten minutes after a single crash of a backend server: its entry first expired and then came back with a later start, and other hosts reported the same crash, so it was recorded twice and reached the limit of two. Crashes are now told apart by the process: the server and its start time. A process that starts anew and crashes again still counts.

--- a/crates/dispatch/src/poison.rs
+++ b/crates/dispatch/src/poison.rs
@@ -2,9 +2,10 @@
 //!
 //! A request is suspected when the connection that carried it breaks. A crash is recorded against
 //! it when the backend server then turns out to have restarted or ended. Requests that ran at the
-//! same time are suspected as well, so only several crashes quarantine a request.
+//! same time are suspected as well, so only several crashes quarantine a request. The crash of one
+//! process counts once, however many hosts and callers notice it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use tarragon_model::time::Instant;
@@ -33,18 +34,30 @@
 struct Suspect {
     fingerprint: Fingerprint,
     server: String,
+    start_ms: u64,
     at: Instant,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Crash {
-    server: String,
+    process: String,
     at: Instant,
 }
 
+/// Returns the name of one process of a backend server.
+fn process(server: &str, start_ms: u64) -> String {
+    format!("{server}/{start_ms}")
+}
+
 impl Quarantine {
-    /// Records that the connection to `server` broke while it carried the request.
-    pub fn suspect(&mut self, fingerprint: Fingerprint, server: &str, now: Instant) {
+    /// Records that the connection to `server`, whose process started at `start_ms`, broke while it
+    /// carried the request.
+    pub fn suspect(
+        &mut self,
+        fingerprint: Fingerprint,
+        (server, start_ms): (&str, u64),
+        now: Instant,
+    ) {
         self.suspects
             .retain(|suspect| now.since(suspect.at) < SUSPICION_TTL);
         if self.suspects.len() < MAX_ENTRIES {
@@ -52,39 +65,42 @@
             self.suspects.push(Suspect {
                 fingerprint,
                 server,
+                start_ms,
                 at: now,
             });
         }
     }
 
     /// Records that `server` ended or restarted. Returns the requests that this crash was recorded
-    /// against.
-    pub fn server_crashed(&mut self, server: &str, now: Instant) -> Vec<Fingerprint> {
+    /// against, and the process that crashed.
+    pub fn server_crashed(&mut self, server: &str, now: Instant) -> Vec<(Fingerprint, String)> {
         let (found, rest) = std::mem::take(&mut self.suspects)
             .into_iter()
             .filter(|suspect| now.since(suspect.at) < SUSPICION_TTL)
             .partition(|suspect| suspect.server == server);
         self.suspects = rest;
         let found: Vec<Suspect> = found;
-        let fingerprints: Vec<Fingerprint> =
-            found.iter().map(|suspect| suspect.fingerprint).collect();
-        for fingerprint in &fingerprints {
-            self.record_crash(*fingerprint, server, now);
+        let crashes = found
+            .iter()
+            .map(|suspect| (suspect.fingerprint, process(server, suspect.start_ms)));
+        // Identical requests may have been sent to the process side by side.
+        let crashes: BTreeSet<(Fingerprint, String)> = crashes.collect();
+        for (fingerprint, process) in &crashes {
+            self.record_crash(*fingerprint, process, now);
         }
-        fingerprints
+        crashes.into_iter().collect()
     }
 
-    /// Records a crash that this or another host observed.
-    pub fn record_crash(&mut self, fingerprint: Fingerprint, server: &str, now: Instant) {
+    /// Records the crash of a process that this or another host observed.
+    pub fn record_crash(&mut self, fingerprint: Fingerprint, process: &str, now: Instant) {
         if self.crashes.len() >= MAX_ENTRIES {
             self.crashes
                 .retain(|_, crashes| crashes.iter().any(|crash| now.since(crash.at) < CRASH_TTL));
         }
         let crashes = self.crashes.entry(fingerprint).or_default();
-        if crashes.iter().all(|crash| crash.server != server) || crashes.len() < QUARANTINE_CRASHES
-        {
+        if crashes.iter().all(|crash| crash.process != process) {
             crashes.push(Crash {
-                server: server.to_owned(),
+                process: process.to_owned(),
                 at: now,
             });
         }
@@ -110,7 +126,7 @@
     /// let now = Instant::from_millis(1);
     /// for server in ["a", "b"] {
     ///     assert!(!quarantine.is_quarantined(7, now));
-    ///     quarantine.suspect(7, server, now);
+    ///     quarantine.suspect(7, (server, 1), now);
     ///     quarantine.server_crashed(server, now);
     /// }
     /// assert!(quarantine.is_quarantined(7, now));
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -104,8 +104,8 @@
     let mut now = Instant::from_millis(1_000);
     for (crash, server) in ["a", "b"].into_iter().enumerate() {
         now = now + Duration::from_millis(300);
-        quarantine.suspect(7, server, now);
-        quarantine.suspect(100 + crash as u64, server, now);
+        quarantine.suspect(7, (server, 1), now);
+        quarantine.suspect(100 + crash as u64, (server, 1), now);
         quarantine.server_crashed(server, now + Duration::from_millis(500));
     }
     assert_eq!(QUARANTINE_CRASHES, 2);
@@ -119,7 +119,7 @@
     let mut quarantine = Quarantine::default();
     let now = Instant::from_millis(1_000);
     for server in ["a", "b", "c", "d"] {
-        quarantine.suspect(7, server, now);
+        quarantine.suspect(7, (server, 1), now);
     }
     assert!(!quarantine.is_quarantined(7, now));
     assert!(
@@ -134,7 +134,7 @@
     let mut quarantine = Quarantine::default();
     let now = Instant::from_millis(1_000);
     for server in ["a", "b", "c"] {
-        quarantine.suspect(7, server, now);
+        quarantine.suspect(7, (server, 1), now);
         quarantine.clear(7);
         quarantine.server_crashed(server, now);
     }
@@ -144,3 +144,26 @@
     quarantine.record_crash(7, "b", now);
     assert!(!quarantine.is_quarantined(7, now));
 }
+
+/// Several callers and hosts that notice the crash of one process must not quarantine the harmless
+/// requests that ran beside the one that caused it.
+#[test]
+fn the_crash_of_one_process_counts_once() {
+    let now = Instant::from_millis(1_000);
+    let [mut here, mut there] = [Quarantine::default(), Quarantine::default()];
+    for _ in 0..3 {
+        here.suspect(7, ("a", 1), now);
+        there.suspect(7, ("a", 1), now);
+    }
+    // Its entry expires, and it registers again later.
+    let mut crashes = here.server_crashed("a", now);
+    crashes.extend(here.server_crashed("a", now));
+    crashes.extend(there.server_crashed("a", now));
+    for (fingerprint, process) in crashes {
+        here.record_crash(fingerprint, &process, now);
+    }
+    assert!(!here.is_quarantined(7, now));
+    here.suspect(7, ("a", 2), now);
+    here.server_crashed("a", now);
+    assert!(here.is_quarantined(7, now), "the next process crashed too");
+}
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -546,8 +546,8 @@
     fn quarantine(&self, crashes: &[(u64, String)]) {
         let now = self.state.now();
         let mut quarantine = self.state.quarantine.borrow_mut();
-        for (fingerprint, server) in crashes {
-            quarantine.record_crash(*fingerprint, server, now);
+        for (fingerprint, process) in crashes {
+            quarantine.record_crash(*fingerprint, process, now);
         }
     }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -113,7 +113,7 @@
         /// Backend server, number of requests that it served since the last report, and the sum of
         /// their durations in milliseconds.
         served: Vec<(String, u32, f32)>,
-        /// Fingerprints of requests that crashed a backend server, with its identifier.
+        /// Fingerprints of requests that crashed a backend server, with its process.
         crashes: Vec<(u64, String)>,
         /// Clock of the host when it sends the report, in microseconds; 0 from hosts of the
         /// previous build.
@@ -133,7 +133,7 @@
     },
     /// Requests that crashed a backend server, broadcast to all hosts.
     Crashes {
-        /// Fingerprint of the request and identifier of the backend server.
+        /// Fingerprint of the request and process of the backend server.
         crashes: Vec<(u64, String)>,
     },
     /// Requests cluster state later than these revisions; sent by a host that lacks updates, for
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -383,10 +383,11 @@
             Outcome::Unknown(_) => {
                 let state = self.state;
                 let now = state.now();
-                state
-                    .quarantine
-                    .borrow_mut()
-                    .suspect(self.fingerprint, &pick.id, now);
+                state.quarantine.borrow_mut().suspect(
+                    self.fingerprint,
+                    (&pick.id, pick.start_ms),
+                    now,
+                );
                 self.unknown_sends += 1;
                 // The route's attempts limit the number of distinct backend servers. A keyed
                 // request has only one, so it may be sent there again.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -233,16 +233,16 @@
 
     /// Records a crash against the requests that ran on a backend server when it ended.
     fn record_crashes(&self, id: &str) {
-        let fingerprints = self.quarantine.borrow_mut().server_crashed(id, self.now());
-        for fingerprint in fingerprints {
-            log::warn!("event=request-crashed-server fingerprint={fingerprint:016x} server={id}");
-            self.new_crashes
-                .borrow_mut()
-                .push((fingerprint, id.to_owned()));
+        let crashes = self.quarantine.borrow_mut().server_crashed(id, self.now());
+        for (fingerprint, process) in crashes {
+            log::warn!(
+                "event=request-crashed-server fingerprint={fingerprint:016x} process={process}"
+            );
+            self.new_crashes.borrow_mut().push((fingerprint, process));
         }
     }
 
-    /// Takes the crashes that were not reported to other hosts yet: request fingerprint and server.
+    /// Takes the crashes that were not reported to other hosts yet: request fingerprint and process.
     pub fn take_new_crashes(&self) -> Vec<(Fingerprint, String)> {
         std::mem::take(&mut self.new_crashes.borrow_mut())
     }
