Log shares of cold servers; take none on a host that stops

The log did not tell who sends to a cold server. The granter logs each choice of a sender and a host its first share of a server. A host that stops no longer reports a clock, so the granter gives its shares to a host that still has callers. The checks of a send skip the table of limits for servers that are not suspected.

--- a/crates/dispatch/src/fleet/warmup.rs
+++ b/crates/dispatch/src/fleet/warmup.rs
@@ -86,15 +86,16 @@
     }
 
     /// Adds a share that the granter gave in response to the report with this host's clock at
-    /// `reported`. A share of a server without a limit on this host has no effect.
-    pub fn grant_share(&mut self, share: &Share, reported: Instant, now: Instant) {
+    /// `reported`. A share of a server without a limit on this host has no effect. Returns whether
+    /// this host had no valid share of the server before.
+    pub fn grant_share(&mut self, share: &Share, reported: Instant, now: Instant) -> bool {
         let server = self.servers.get(&share.server);
         let limit = server.and_then(|server| self.limits.get(&server.entry.service));
-        if let Some(limit) = limit {
+        limit.is_some_and(|limit| {
             let limit = limit.with_rate(share.per_s);
             self.shares
-                .grant(&share.server, share.start_ms, limit, reported, now);
-        }
+                .grant(&share.server, share.start_ms, limit, reported, now)
+        })
     }
 
     /// Returns whether one more request may be sent to a server, as far as it is cold or may be.
@@ -119,6 +120,37 @@
 
     /// Counts a request that is about to be sent. Returns `None` if the server is cold and this host
     /// may not send to it.
+    ///
+    /// ```
+    /// use std::collections::HashMap;
+    /// use std::time::Duration;
+    /// use tarragon_dispatch::fleet::{Entry, Fleet, Location};
+    /// use tarragon_dispatch::warmup::share::Share;
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
+    /// use tarragon_model::time::Instant;
+    ///
+    /// let now = Instant::from_millis(60_000);
+    /// let time = Duration::from_secs(20);
+    /// let limit = Limit::new(Rate { per_s: 6.5, time }, Bound { overrun: 1.5, slack: 8.0 });
+    /// let mut fleet = Fleet::new(Location { zone: "a1".to_owned(), regions: HashMap::new() });
+    /// fleet.set_warmup_limits(HashMap::from([("s".to_owned(), limit)]));
+    /// let entry = Entry {
+    ///     id: "x".to_owned(),
+    ///     start_ms: 1,
+    ///     service: "s".to_owned(),
+    ///     addr: "127.0.0.1:9".parse().unwrap(),
+    ///     zone: "a1".to_owned(),
+    ///     slots: 6,
+    ///     draining: false,
+    ///     warmup: time,
+    /// };
+    /// fleet.update(entry, 1, now);
+    /// let pick = fleet.get("x").unwrap().pick();
+    /// assert!(fleet.reserve(&pick, now).is_none());
+    /// let share = Share { server: "x".to_owned(), start_ms: 1, per_s: 6.5 };
+    /// fleet.grant_share(&share, now, now);
+    /// assert!(fleet.reserve(&pick, now).is_some());
+    /// ```
     pub fn reserve(&mut self, pick: &Pick, now: Instant) -> Option<Slot> {
         let Some(server) = self.servers.get(&pick.id) else {
             return Some(Slot::Unlimited);
@@ -156,8 +188,8 @@
     /// Returns the suspicion against a server, unless it is over: the store has confirmed the entry
     /// after a restart would have changed it, or the server would be warm again by now.
     fn suspicion<'a>(&self, server: &'a Server, now: Instant) -> Option<&'a Suspicion> {
-        let limit = self.limits.get(&server.entry.service)?;
         let suspicion = server.suspicion.as_ref()?;
+        let limit = self.limits.get(&server.entry.service)?;
         let over = suspicion.reached_at.is_some_and(|reached| {
             self.confirmed_at >= reached + ENTRY_DELAY || now >= reached + limit.time
         });
@@ -188,8 +220,10 @@
         let Some(server) = self.servers.get(id) else {
             return;
         };
-        let limited = self.limits.contains_key(&server.entry.service);
-        if class == AttemptClass::Abandoned || !limited || self.is_cold(server, now) {
+        let failed = class == AttemptClass::Unreachable;
+        let relevant = failed || server.suspicion.is_some() && class != AttemptClass::Abandoned;
+        let limited = relevant && self.limits.contains_key(&server.entry.service);
+        if !limited || self.is_cold(server, now) {
             return;
         }
         let suspected = self.suspicion(server, now).is_some();
@@ -200,7 +234,7 @@
         if !suspected {
             server.suspicion = None;
         }
-        if class != AttemptClass::Unreachable {
+        if !failed {
             if let Some(suspicion) = &mut server.suspicion {
                 suspicion.reached_at.get_or_insert(now);
             }
@@ -242,12 +276,6 @@
 }
 
 impl Server {
-    /// Returns until when the server is cold by its entry, whether or not that limits requests.
-    #[must_use]
-    pub const fn cold_until(&self) -> Instant {
-        self.cold_until
-    }
-
     /// Applies the warm-up that a later entry of the same process reports. Returns whether the
     /// server turned cold.
     pub(super) fn update_warmup(&mut self, entry: &Entry, limited: bool, now: Instant) -> bool {
--- a/crates/dispatch/src/warmup.rs
+++ b/crates/dispatch/src/warmup.rs
@@ -85,7 +85,18 @@
         }
     }
 
-    /// Returns the limit for another rate under the same bound.
+    /// Returns the limit for another rate under the same bound. A rate that is not positive has no
+    /// effect.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
+    ///
+    /// let rate = Rate { per_s: 6.5, time: Duration::from_secs(20) };
+    /// let limit = Limit::new(rate, Bound { overrun: 1.5, slack: 8.0 });
+    /// assert_eq!(limit.with_rate(4.0).count, 4);
+    /// assert_eq!(limit.with_rate(0.0), limit);
+    /// ```
     #[must_use]
     pub fn with_rate(&self, per_s: f64) -> Self {
         if per_s.is_finite() && per_s > 0.0 {
@@ -98,6 +109,15 @@
 
     /// Returns the mean interval at which each of `hosts` hosts may try a server of which it is not
     /// known whether it is cold, so that all of them together stay below the limit.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
+    ///
+    /// let rate = Rate { per_s: 6.5, time: Duration::from_secs(20) };
+    /// let limit = Limit::new(rate, Bound { overrun: 1.5, slack: 8.0 });
+    /// assert_eq!(limit.probe_interval(60), Duration::from_secs(10));
+    /// ```
     #[must_use]
     pub fn probe_interval(&self, hosts: u32) -> Duration {
         self.window.saturating_mul(hosts.max(1)) / self.count
--- a/crates/dispatch/src/warmup/allocation.rs
+++ b/crates/dispatch/src/warmup/allocation.rs
@@ -124,6 +124,27 @@
     /// A sender that no longer reports is replaced once its share has expired. Returns the hosts that were chosen.
     ///
     /// `regions` names the region of each failure domain.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use std::collections::HashMap;
+    /// use tarragon_dispatch::warmup::allocation::{Allocation, Choice, Cold, Report};
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
+    /// use tarragon_model::time::Instant;
+    ///
+    /// let rate = Rate { per_s: 6.5, time: Duration::from_secs(20) };
+    /// let limit = Limit::new(rate, Bound { overrun: 1.5, slack: 8.0 });
+    /// let cold = Cold { server: "x", start_ms: 1, zone: "a1", limit };
+    /// let now = Instant::from_millis(60_000);
+    /// let mut allocation = Allocation::new(Instant::ZERO);
+    /// for (host, zone) in [("h/1", "b1"), ("i/1", "a1")] {
+    ///     allocation.report(Report { host, zone, clock: now }, now);
+    /// }
+    /// let chosen = allocation.update([cold].into_iter(), &HashMap::new(), now);
+    /// assert_eq!(chosen, [Choice { server: "x".to_owned(), host: "i/1".to_owned() }]);
+    /// let later = now + Duration::from_millis(500);
+    /// assert!(allocation.update([cold].into_iter(), &HashMap::new(), later).is_empty());
+    /// ```
     pub fn update<'a>(
         &mut self,
         cold: impl Iterator<Item = Cold<'a>>,
--- a/crates/dispatch/src/warmup/share.rs
+++ b/crates/dispatch/src/warmup/share.rs
@@ -63,6 +63,7 @@
     ///
     /// A response that was delayed for longer than the validity has no effect, nor has one that
     /// arrives after a later one. Requests sent under an earlier share of the server still count.
+    /// Returns whether the host had no valid share of the server before.
     ///
     /// ```
     /// use std::time::Duration;
@@ -88,11 +89,13 @@
         limit: Limit,
         reported: Instant,
         now: Instant,
-    ) {
+    ) -> bool {
         let valid_until = reported + VALIDITY;
         if reported > now || valid_until <= now {
-            return;
+            return false;
         }
+        let before = self.servers.get(server);
+        let is_new = !before.is_some_and(|held| held.is_valid(start_ms, now));
         self.servers.retain(|_, held| {
             held.forget_before(now);
             now < held.valid_until || !held.sent.is_empty()
@@ -111,6 +114,7 @@
             held.limit = limit;
             held.valid_until = valid_until;
         }
+        is_new && held.is_valid(start_ms, now)
     }
 
     /// Returns whether one more request may be sent to a cold server now.
@@ -145,6 +149,24 @@
     ///
     /// Requests that were taken at different times and are written together would otherwise exceed
     /// the limit.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tarragon_dispatch::warmup::share::Shares;
+    /// use tarragon_dispatch::warmup::{Bound, Limit, Rate};
+    /// use tarragon_model::time::Instant;
+    ///
+    /// let taken = Instant::from_millis(60_000);
+    /// let rate = Rate { per_s: 1.0, time: Duration::from_secs(20) };
+    /// let limit = Limit::new(rate, Bound { overrun: 1.5, slack: 8.0 });
+    /// let mut shares = Shares::default();
+    /// shares.grant("x", 1, limit, taken, taken);
+    /// shares.take("x", 1, taken);
+    /// let written = taken + Duration::from_millis(200);
+    /// assert!(shares.renew("x", 1, taken, written));
+    /// let free_at = shares.free_at("x", 1, written);
+    /// assert_eq!(free_at, Some(written + Duration::from_secs(1)));
+    /// ```
     pub fn renew(&mut self, server: &str, start_ms: u64, taken: Instant, now: Instant) -> bool {
         let Some(held) = self.servers.get_mut(server) else {
             return false;
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -445,7 +445,7 @@
             traffic: traffic.collect(),
             served: served.collect(),
             crashes: self.state.take_new_crashes(),
-            clock_us: self.state.now().as_micros(),
+            clock_us: self.report_clock(),
             zone: self.state.settings.zone.clone(),
         }
     }
--- a/crates/edge/src/election/warmup.rs
+++ b/crates/edge/src/election/warmup.rs
@@ -6,6 +6,7 @@
 
 use super::{FREEZE_THRESHOLD, Participant, Role, process_id};
 use crate::peer::Frame;
+use crate::state::State;
 
 /// Shares that this host gives while it is the granter.
 #[derive(Default)]
@@ -45,9 +46,19 @@
         fleet.set_surroundings(hosts, confirmed_at);
     }
 
+    /// Returns the clock for a report of this host, in microseconds. A host that is about to end
+    /// gets no more requests, so it takes no shares.
+    pub(super) fn report_clock(&self) -> u64 {
+        if self.leaving {
+            0
+        } else {
+            self.state.now().as_micros()
+        }
+    }
+
     /// Responds to the report of a host with the shares that it may use.
     ///
-    /// A host of the previous build reports no clock and limits nothing, so it gets no share.
+    /// A host of the previous build, or one that is about to end, reports no clock and gets no share.
     pub(super) fn answer_report(&mut self, link: u64, zone: &str, clock_us: u64) {
         let now = self.state.now();
         let Some(term) = self.share_term(now) else {
@@ -100,7 +111,9 @@
             zone: &state.settings.zone,
             clock: now,
         };
-        allocation.report(report, now);
+        if !self.leaving {
+            allocation.report(report, now);
+        }
         let regions = &state.settings.regions;
         let chosen = allocation.update(state.fleet.borrow().cold(now), regions, now);
         if let Some((clock, shares)) = allocation.renew(&own, now) {
@@ -108,7 +121,7 @@
         }
         for choice in chosen {
             log::info!(
-                "event=warmup-share server={} host={} term={term}",
+                "event=warmup-sender server={} host={} term={term}",
                 choice.server,
                 choice.host
             );
@@ -136,10 +149,18 @@
     }
 }
 
-fn apply(state: &crate::state::State, reported: Instant, shares: &[Share]) {
+fn apply(state: &State, reported: Instant, shares: &[Share]) {
     let now = state.now();
     let mut fleet = state.fleet.borrow_mut();
     for share in shares {
-        fleet.grant_share(share, reported, now);
+        if fleet.grant_share(share, reported, now) {
+            log::info!(
+                "event=warmup-share-received server={} born={} per_s={} age_ms={}",
+                share.server,
+                share.start_ms,
+                share.per_s,
+                now.since(reported).as_millis()
+            );
+        }
     }
 }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -112,7 +112,7 @@
         /// Fingerprints of requests that crashed a backend server, with its identifier.
         crashes: Vec<(u64, String)>,
         /// Clock of the host when it sends the report, in microseconds; 0 from hosts of the
-        /// previous build.
+        /// previous build and from hosts that take no shares.
         #[serde(default)]
         clock_us: u64,
         /// Failure domain of the host; empty from hosts of the previous build.
