Bound what one host has under way at a backend server

Cause: a host sent a server as many bytes of bodies as its connections allow, up to the operators' limit for a body on each. And it filled a server that resets connections when it is full with requests that may run only once: each reset is an unknown outcome, though the load of the server was known.

Change: dispatch::inflight bounds the bytes under way from one host to one server (16 MiB divided by the hosts, 1 MiB at least), and learns by service at which load full servers end connections without a response. For 30 s after that, a request that may run only once is sent only if a place is left beside it, and otherwise goes to another server or is refused with 503. relay::room waits for room before a send.

--- a/crates/dispatch/src/fleet/estimate.rs
+++ b/crates/dispatch/src/fleet/estimate.rs
@@ -245,7 +245,7 @@
     }
 
     /// Returns the number of requests that run or wait at the server.
-    fn load(&self, now: Instant) -> f64 {
+    pub(super) fn load(&self, now: Instant) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
         f64::from(self.in_flight) + self.other_hosts * 0.5_f64.powf(age)
     }
--- a/crates/dispatch/src/fleet/server.rs
+++ b/crates/dispatch/src/fleet/server.rs
@@ -76,6 +76,12 @@
         self.estimate.is_unreachable(now)
     }
 
+    /// Returns the estimated number of requests that run or wait at the server.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> f64 {
+        self.estimate.load(now)
+    }
+
     /// Returns whether the server denied being the one in its entry.
     #[must_use]
     pub fn is_denied(&self, now: Instant) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod denial;
 pub mod fleet;
 pub mod homes;
+pub mod inflight;
 pub mod poison;
 pub mod table;
 pub mod warmup;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,7 @@
     requests: Counter<u64>,
     duration: Histogram<f64>,
     sends: Counter<u64>,
+    withheld: Counter<u64>,
     commands: Counter<u64>,
     command_send_delays: Histogram<f64>,
     command_durations: Histogram<f64>,
@@ -61,6 +62,7 @@
                 .with_unit("s")
                 .build(),
             sends: meter.u64_counter("tarragon.edge.sends").build(),
+            withheld: meter.u64_counter("tarragon.edge.withheld").build(),
             commands: meter.u64_counter("tarragon.edge.orders").build(),
             command_send_delays: delays("tarragon.edge.command.send_delay"),
             command_durations: delays("tarragon.edge.command.duration"),
@@ -88,6 +90,11 @@
         self.sends.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a request that a backend server had no room for, by the limit.
+    pub fn count_withheld(&self, cause: &'static str) {
+        self.withheld.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a command to a backend server, by its action and its result.
     pub fn count_command(&self, action: &'static str, result: &'static str) {
         let labels = [
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -26,6 +26,7 @@
 
 mod forward;
 mod handover;
+pub mod room;
 
 /// Error that interrupts a response body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -107,7 +108,8 @@
     Response(ServerResponse),
     /// Nothing was sent.
     NotSent(String),
-    /// Nothing was sent: all connections that this host may open were in use.
+    /// Nothing was sent: all connections that this host may open were in use, or the server had no
+    /// room for the request.
     Full,
     /// The backend server states that it did not run the request.
     NotRun(StatusCode),
@@ -197,6 +199,12 @@
         excluded: &excluded,
         may_open,
     };
+    let Ok(_held) = room::enter(state, request, &pick.id, deadline).await else {
+        return Attempt {
+            outcome: Outcome::Full,
+            connection: None,
+        };
+    };
     let mut connection = None;
     let outcome = exchange(state, request, pick, need, &mut connection, deadline).await;
     Attempt {
@@ -259,6 +267,7 @@
                     guard.finish(AttemptClass::Unreachable, None, 0);
                     return Outcome::NotSent(text);
                 }
+                room::note_lost(state, &pick.id);
                 guard.finish(AttemptClass::Failed, None, 0);
                 return Outcome::Unknown(text);
             }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -22,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::pool::Pool;
+use crate::relay::room::Room;
 use crate::settings::{Bounds, Settings};
 use crate::shutdown::Schedule;
 
@@ -48,6 +49,8 @@
     pub denials: RefCell<Denials>,
     /// Memory for the bodies of requests and responses.
     pub body_memory: Arc<body::Memory>,
+    /// What is under way at the backend servers.
+    pub room: Room,
     /// Requests suspected or known to crash backend servers.
     pub quarantine: RefCell<Quarantine>,
     /// Number of hosts that share the retry budgets and the connection limits.
@@ -101,6 +104,7 @@
             fleet: Rc::new(RefCell::new(Fleet::new(location))),
             denials: RefCell::default(),
             body_memory,
+            room: Room::default(),
             quarantine: RefCell::default(),
             host_count: Cell::new(ASSUMED_HOSTS),
             clock,
--- a/crates/edge/tests/buffering.rs
+++ b/crates/edge/tests/buffering.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use common::router::{Router, TIMEOUT, answer, read_head, with_router};
+use futures::future::join_all;
+use socket2::SockRef;
 use tarragon_dispatch::catalog::Kind;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -134,3 +136,120 @@
     })
     .await;
 }
+
+/// Backend server with limited places.
+#[derive(Default)]
+struct Places {
+    held: Cell<usize>,
+    peak: Cell<usize>,
+}
+
+impl Places {
+    fn take(&self, amount: usize) {
+        self.held.set(self.held.get() + amount);
+        self.peak.set(self.peak.get().max(self.held.get()));
+    }
+
+    fn give(&self, amount: usize) {
+        self.held.set(self.held.get() - amount);
+    }
+}
+
+/// Sends `count` requests at the same time; returns their statuses.
+async fn send_together(router: &Router, count: usize, body: &str) -> Vec<u16> {
+    let requests = (0..count).map(async |number| {
+        let mut caller = router.connect().await;
+        caller.send(&format!("x{number}"), None, body).await;
+        caller.response().await.0
+    });
+    join_all(requests).await
+}
+
+fn count(statuses: &[u16], wanted: u16) -> usize {
+    statuses.iter().filter(|status| **status == wanted).count()
+}
+
+/// Guards against a server that crashes because one host sends it more bytes than it can hold.
+#[tokio::test]
+async fn the_bytes_under_way_to_one_server_are_bounded() {
+    const BODY: usize = 2_500_000;
+    with_router(Kind::Upload, false, async |router| {
+        let memory = Rc::new(Places::default());
+        let counted = memory.clone();
+        let script = move |mut stream: TcpStream| {
+            let memory = counted.clone();
+            async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    let mut body = vec![0; BODY];
+                    memory.take(BODY);
+                    stream.read_exact(&mut body).await.unwrap();
+                    sleep(Duration::from_millis(20)).await;
+                    memory.give(BODY);
+                    stream
+                        .write_all(answer(&head, "").as_bytes())
+                        .await
+                        .unwrap();
+                }
+            }
+        };
+        router.add_server("a", script).await;
+        let statuses = send_together(&router, 10, &"7".repeat(BODY)).await;
+        assert_eq!(
+            count(&statuses, 200) + count(&statuses, 503),
+            10,
+            "{statuses:?}"
+        );
+        assert!(count(&statuses, 200) >= 2, "{statuses:?}");
+        assert!(
+            memory.peak.get() <= 16 * 1024 * 1024,
+            "{} bytes",
+            memory.peak.get()
+        );
+        let statuses = send_together(&router, 1, &"7".repeat(BODY)).await;
+        assert_eq!(statuses, [200], "room is given back");
+    })
+    .await;
+}
+
+/// Guards against requests that may run only once and are lost in a reset by a full server, and
+/// against a host that sends none of them any more. The load: 12 orders at a time, 6 slots.
+#[tokio::test]
+async fn a_server_that_resets_when_full_is_not_filled_with_orders() {
+    with_router(Kind::NonIdempotent, false, async |router| {
+        let slots = Rc::new(Places::default());
+        let counted = slots.clone();
+        let script = move |mut stream: TcpStream| {
+            let slots = counted.clone();
+            async move {
+                while let Some(head) = read_head(&mut stream).await {
+                    if slots.held.get() == 6 {
+                        SockRef::from(&stream)
+                            .set_linger(Some(Duration::ZERO))
+                            .unwrap();
+                        return;
+                    }
+                    slots.take(1);
+                    sleep(TIMEOUT / 6).await;
+                    slots.give(1);
+                    stream
+                        .write_all(answer(&head, "").as_bytes())
+                        .await
+                        .unwrap();
+                }
+            }
+        };
+        router.add_server("a", script).await;
+        let learning = send_together(&router, 12, "order").await;
+        assert!(count(&learning, 502) > 0, "{learning:?}");
+        for _ in 0..3 {
+            // The pool opens no connection for 0.5 s after a reset.
+            sleep(Duration::from_millis(700)).await;
+            send_together(&router, 2, "order").await;
+            send_together(&router, 2, "order").await;
+            let statuses = send_together(&router, 12, "order").await;
+            assert_eq!(count(&statuses, 502), 0, "{statuses:?}");
+            assert!(count(&statuses, 200) >= 5, "{statuses:?}");
+        }
+    })
+    .await;
+}
