--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod evacuation;
 pub mod fleet;
 pub mod homes;
+pub mod inflight;
 pub mod poison;
 pub mod table;
 pub mod warmup;
