Admit requests by the shares that the granter sends

Cause: hosts had no common knowledge of how full servers are, so each of them found out by refused sends.

Change: a host counts requests to services without keys by priority, and the answers, refusals, waiting requests and slots of their servers, and reports them. The granter computes the shares (overload.rs) and sends them with its heartbeat. A request that is not within the share is rejected before it is sent anywhere, with the Retry-After at which it will be. Both fields are optional, so frames pass between this build and the previous one. Sends that never left the host are no attempts.

Not measured with several real hosts.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -51,7 +51,7 @@
 pub struct Pressure {
     /// Name of the service.
     pub service: String,
-    /// Attempts that ended.
+    /// Attempts that a server answered or whose connection it reset.
     pub attempts: u32,
     /// Attempts that a full server refused, or whose connection it reset.
     pub refused: u32,
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -371,11 +371,11 @@
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        let (slots, refused) = (server.entry.slots, observation.class == AttemptClass::Shed);
+        let slots = server.entry.slots;
         self.traffic
             .entry(server.entry.service.clone())
             .or_default()
-            .record(distance, observation.load, refused, slots, now);
+            .record(distance, observation.load, observation.class, slots, now);
         let baseline = self
             .baselines
             .entry(server.entry.service.clone())
@@ -420,7 +420,10 @@
         if expected_ms <= allowed || !server.estimate.is_full(server.entry.slots, now) {
             return None;
         }
-        Some(selection::spread_wait(expected_ms - allowed, criteria.random))
+        Some(selection::spread_wait(
+            expected_ms - allowed,
+            criteria.random,
+        ))
     }
 
     /// Returns the expected response time of one more request at a server, `None` if the server is
--- a/crates/dispatch/src/fleet/selection.rs
+++ b/crates/dispatch/src/fleet/selection.rs
@@ -10,7 +10,9 @@
 use smallvec::SmallVec;
 use tarragon_model::time::Instant;
 
-use super::estimate::{Baseline, Distance, Load};
+use crate::admission::Pressure;
+
+use super::estimate::{AttemptClass, Baseline, Distance, Load};
 use super::{
     CONNECT_PENALTY, Criteria, EXPLORE_PART, Fleet, MISSING_PENALTY, NOISE_SPREAD, Pick,
     RETRIED_PENALTY, Refusal, Server, server_random,
@@ -53,6 +55,16 @@
     means: [f64; 2],
     /// Load per slot at which servers refused requests, if one reported it.
     refusal_load: Option<f64>,
+    /// Counts since the last report to the granter.
+    counts: Counts,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    attempts: u32,
+    refused: u32,
+    waiting: u32,
+    slots: u32,
 }
 
 impl Traffic {
@@ -61,15 +73,22 @@
         &mut self,
         distance: Distance,
         load: Option<Load>,
-        refused: bool,
+        class: AttemptClass,
         slots: u32,
         now: Instant,
     ) {
+        let refused = matches!(class, AttemptClass::Shed | AttemptClass::Reset);
+        // Of the others, some were never sent.
+        let answered = !matches!(class, AttemptClass::Abandoned | AttemptClass::Unreachable);
+        self.counts.attempts += u32::from(answered);
+        self.counts.refused += u32::from(refused);
         self.rate = self.rate(now) + RATE_TIME_S.recip();
         self.rated_at = now;
         let Some(load) = load else {
             return;
         };
+        self.counts.waiting = self.counts.waiting.saturating_add(load.waiting);
+        self.counts.slots = self.counts.slots.saturating_add(slots);
         let per_slot = f64::from(load.running + load.waiting) / f64::from(slots.max(1));
         let mean = &mut self.means[usize::from(distance == Distance::Far)];
         *mean += MEAN_GAIN * (per_slot - *mean);
@@ -195,6 +214,21 @@
         comparison.check(&choice)?;
         Ok(choice.candidate.server.pick())
     }
+
+    /// Returns what the servers of each service reported since the last call.
+    pub fn take_pressure(&mut self) -> Vec<Pressure> {
+        let services = self.traffic.iter_mut().filter_map(|(service, traffic)| {
+            let counts = std::mem::take(&mut traffic.counts);
+            (counts.attempts > 0).then(|| Pressure {
+                service: service.clone(),
+                attempts: counts.attempts,
+                refused: counts.refused,
+                waiting: counts.waiting,
+                slots: counts.slots,
+            })
+        });
+        services.collect()
+    }
 }
 
 /// Comparison of the servers for one request.
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -14,6 +14,7 @@
 
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
+use tarragon_dispatch::admission::Report;
 use tarragon_model::time::Instant;
 use tarragon_owner::votes::Pledge;
 use tarragon_store::api::Api;
@@ -440,6 +441,7 @@
             traffic: traffic.collect(),
             served: served.collect(),
             crashes: self.state.take_new_crashes(),
+            overload: self.state.overload.take_report(&self.state),
         }
     }
 
@@ -453,10 +455,11 @@
             traffic,
             served,
             crashes,
+            overload,
             ..
         }) = report
         {
-            self.apply_report(&traffic, &served, crashes);
+            self.apply_report(&traffic, &served, &overload, crashes);
         }
         let Role::Granting(elected) = &mut self.role else {
             return;
@@ -517,10 +520,12 @@
         &mut self,
         traffic: &[(String, Vec<(u16, u32)>)],
         served: &[(String, u32, f32)],
+        overload: &Report,
         crashes: Vec<(u64, String)>,
     ) {
         if let Role::Granting(elected) = &mut self.role {
             elected.grants.add_report(traffic, served);
+            self.state.overload.record_report(elected.term.0, overload);
         }
         if !crashes.is_empty() {
             self.quarantine(&crashes);
@@ -567,6 +572,7 @@
         catalog,
         entries,
         changed: cluster.last_change(),
+        shares: state.overload.compute_shares(elected.term.0, state.now()),
     }
 }
 
--- a/crates/edge/src/election/links.rs
+++ b/crates/edge/src/election/links.rs
@@ -96,10 +96,13 @@
                 catalog,
                 entries,
                 changed,
+                shares,
             } => {
                 self.on_heartbeat(link, (record_version, sent_us), hosts, state_age_ms);
                 if matches!(&self.role, Role::Following(followed) if followed.link == link) {
                     self.max_cores = max_cores;
+                    let (sent, now) = (Instant::from_micros(sent_us), self.state.now());
+                    self.state.overload.receive(link, sent, shares, now);
                 }
                 self.compare_revisions(link, state_age_ms, (catalog, entries, changed));
             }
@@ -128,6 +131,7 @@
                 traffic,
                 served,
                 crashes,
+                overload,
             } => {
                 let peer = self.peers.get(&link);
                 let host = peer.map(|peer| process_id(&peer.host, peer.incarnation));
@@ -139,7 +143,7 @@
                     let known = elected.acknowledged.entry(host).or_insert(heartbeat_sent);
                     *known = heartbeat_sent.max(*known);
                 }
-                self.apply_report(&traffic, &served, crashes);
+                self.apply_report(&traffic, &served, &overload, crashes);
             }
             Frame::Crashes { crashes } => self.quarantine(&crashes),
             Frame::StateRequest {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lag;
 pub mod logging;
 pub mod metrics;
+pub mod overload;
 pub mod peer;
 pub mod platform;
 pub mod pool;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,7 @@
     requests: Counter<u64>,
     duration: Histogram<f64>,
     sends: Counter<u64>,
+    not_admitted: Counter<u64>,
     commands: Counter<u64>,
     command_send_delays: Histogram<f64>,
     command_durations: Histogram<f64>,
@@ -61,6 +62,7 @@
                 .with_unit("s")
                 .build(),
             sends: meter.u64_counter("tarragon.edge.sends").build(),
+            not_admitted: meter.u64_counter("tarragon.edge.not_admitted").build(),
             commands: meter.u64_counter("tarragon.edge.orders").build(),
             command_send_delays: delays("tarragon.edge.command.send_delay"),
             command_durations: delays("tarragon.edge.command.duration"),
@@ -88,6 +90,15 @@
         self.sends.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a request that was not admitted as servers are short of capacity.
+    pub fn count_not_admitted(&self, service: &str, priority: u32) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("priority", i64::from(priority)),
+        ];
+        self.not_admitted.add(1, &labels);
+    }
+
     /// Counts a command to a backend server, by its action and its result.
     pub fn count_command(&self, action: &'static str, result: &'static str) {
         let labels = [
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -11,6 +11,7 @@
 
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
+use tarragon_dispatch::admission::{self, Share};
 use tarragon_store::object::{List, Object};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -63,6 +64,9 @@
         entries: u64,
         /// Revision of the latest change of an entry.
         changed: u64,
+        /// Admitted shares of services that are short of capacity.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        shares: Vec<Share>,
     },
     /// Another process has won the granter election; an earlier granter has to step down.
     #[serde(rename = "Office")]
@@ -111,6 +115,9 @@
         served: Vec<(String, u32, f32)>,
         /// Fingerprints of requests that crashed a backend server, with its identifier.
         crashes: Vec<(u64, String)>,
+        /// Requests to services without keys, and the load of their servers.
+        #[serde(default)]
+        overload: admission::Report,
     },
     /// Requests that crashed a backend server, broadcast to all hosts.
     Crashes {
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -198,6 +198,7 @@
         }
         let connections = self.connections();
         let keyed = self.key.filter(|_| self.is_keyed());
+        self.check_share()?;
         if let Some(key) = keyed {
             state.count_key(self.service, key);
         }
@@ -231,7 +232,10 @@
             self.record_claim(&target, &attempt.outcome);
             self.record_answer(pick, &attempt);
             match self.after_send(pick, attempt.outcome, keyed).await {
-                Next::Done(response) => return Ok(response),
+                Next::Done(response) => {
+                    self.record_served();
+                    return Ok(response);
+                }
                 Next::Fail(failure) => return Err(failure),
                 Next::Retry => {}
             }
--- a/crates/edge/src/routed/choice.rs
+++ b/crates/edge/src/routed/choice.rs
@@ -19,6 +19,33 @@
         })
     }
 
+    /// Rejects a request to a service without keys that is not within the admitted share.
+    pub(super) fn check_share(&self) -> Result<(), Failure> {
+        if self.is_keyed() {
+            return Ok(());
+        }
+        let (state, route) = (self.state, self.route);
+        let admitted = state
+            .overload
+            .admit(route, self.service, self.fingerprint, state.now());
+        admitted.map_err(|wait| {
+            state
+                .metrics
+                .count_not_admitted(self.service, route.priority);
+            Failure::not_run("not admitted: servers are short of capacity", wait)
+        })
+    }
+
+    /// Counts a response for the computation of the shares.
+    pub(super) fn record_served(&self) {
+        if !self.is_keyed() {
+            let elapsed = self.started.elapsed();
+            self.state
+                .overload
+                .record_served(self.route, self.service, elapsed);
+        }
+    }
+
     pub(super) fn criteria(&self) -> Criteria<'_> {
         Criteria {
             service: self.service,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::keys::{Map, Patch, Received};
 use crate::metrics::Metrics;
+use crate::overload::Overload;
 use crate::platform::Platform;
 use crate::pool::Pool;
 use crate::settings::{Bounds, Settings};
@@ -46,6 +47,8 @@
     pub fleet: Rc<RefCell<Fleet>>,
     /// Claims of the key maps that backend servers have denied.
     pub denials: RefCell<Denials>,
+    /// Admission of requests while servers are short of capacity.
+    pub overload: Overload,
     /// Memory for the bodies of requests and responses.
     pub body_memory: Arc<body::Memory>,
     /// Requests suspected or known to crash backend servers.
@@ -100,6 +103,7 @@
             pool: Pool::default(),
             fleet: Rc::new(RefCell::new(Fleet::new(location))),
             denials: RefCell::default(),
+            overload: Overload::default(),
             body_memory,
             quarantine: RefCell::default(),
             host_count: Cell::new(ASSUMED_HOSTS),
--- a/crates/edge/tests/election.rs
+++ b/crates/edge/tests/election.rs
@@ -219,6 +219,7 @@
         catalog: 0,
         entries: 0,
         changed: 0,
+        shares: Vec::new(),
     }
 }
 
