Test which servers may hold keys while some are cold

The rule had no test: it was private to the granter of the edge crate. It is now a decision of the fleet, without a change in behavior.

--- a/crates/dispatch/src/fleet/warmup.rs
+++ b/crates/dispatch/src/fleet/warmup.rs
@@ -85,6 +85,22 @@
         })
     }
 
+    /// Returns those of the servers that may hold keys: the warm ones, or all if none is warm.
+    ///
+    /// Only one host may send to a cold server, so even a busy warm server serves more of the
+    /// requests for a key. Keys move away from a server that turned cold for the same reason.
+    pub fn warm_or_all<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a Server>,
+        now: Instant,
+    ) -> Vec<&'a Server> {
+        let mut servers: Vec<&Server> = servers.collect();
+        if servers.iter().any(|server| !self.is_cold(server, now)) {
+            servers.retain(|server| !self.is_cold(server, now));
+        }
+        servers
+    }
+
     /// Adds a share that the granter gave in response to the report with this host's clock at
     /// `reported`. A share of a server without a limit on this host has no effect. Returns whether
     /// this host had no valid share of the server before.
--- a/crates/dispatch/tests/warmup.rs
+++ b/crates/dispatch/tests/warmup.rs
@@ -93,6 +93,27 @@
     }
 }
 
+/// Guards against keys at a cold server beside warm ones, and against keys without a holder.
+#[test]
+fn cold_servers_hold_keys_only_where_all_are_cold() {
+    let tables: [(&[u64], &[&str]); 3] = [
+        (&[0, 5_000, 0], &["0", "2"]),
+        (&[5_000, 5_000], &["0", "1"]),
+        (&[0, 0], &["0", "1"]),
+    ];
+    for (warmups, expected) in tables {
+        let mut fleet = fleet(true);
+        for (id, warmup_ms) in warmups.iter().enumerate() {
+            let id = id.to_string();
+            let entry = entry(1, *warmup_ms);
+            fleet.update(Entry { id, ..entry }, 1, NOW);
+        }
+        let holders = fleet.warm_or_all(fleet.iter(), NOW).into_iter();
+        let holders: Vec<&str> = holders.map(|server| server.entry.id.as_str()).collect();
+        assert_eq!(holders, expected);
+    }
+}
+
 /// Guards against hosts that together overload a server which restarted before its entry says so:
 /// they fail at the same time, and each would return after its own pause. The load is 71 hosts that
 /// each send four requests per second to the server.
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -31,7 +31,6 @@
 mod departure;
 mod plans;
 mod report;
-mod warmup;
 
 /// Kind of the store objects that hold a service's plan.
 pub const PLAN_KIND: &str = "tarragon-plans";
@@ -351,7 +350,7 @@
                 && !self.is_unreachable(&server.entry.id, now)
         });
         let speeds = self.services.get(name).map(|service| &service.speeds);
-        let servers = warmup::warm_or_all(&fleet, servers, now);
+        let servers = fleet.warm_or_all(servers, now);
         let candidates = servers.into_iter().map(|server| {
             let slowness = speeds.map_or(1.0, |speeds| speeds.slowness(&server.entry.id));
             let cold = server.known_for(now) < COLD_TIME && !server.entry.warmup.is_zero();
