--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -32,7 +32,6 @@
 mod homes;
 mod plans;
 mod report;
-mod warmup;
 
 /// Kind of the store objects that hold a service's plan.
 pub const PLAN_KIND: &str = "tarragon-plans";
@@ -359,7 +358,7 @@
         let servers =
             self.homes_unmet
                 .servers_at_home(&fleet, (name, &homes, revision), servers.collect());
-        let servers = warmup::warm_or_all(&fleet, servers.into_iter(), now);
+        let servers = fleet.warm_or_all(servers.into_iter(), now);
         let candidates = servers.into_iter().map(|server| {
             let slowness = speeds.map_or(1.0, |speeds| speeds.slowness(&server.entry.id));
             let cold = server.known_for(now) < COLD_TIME && !server.entry.warmup.is_zero();
