--- a/crates/edge/src/cluster/watcher.rs
+++ b/crates/edge/src/cluster/watcher.rs
@@ -59,6 +59,7 @@
     let mut failures: u32 = 0;
     while !state.stop.is_cancelled() {
         if subject == Subject::Evacuations && !check_in_force(state, cluster) {
+            position = None;
             tokio::time::sleep(IN_FORCE_CHECK_INTERVAL).await;
             continue;
         }
