--- a/crates/edge/tests/narrow_links.rs
+++ b/crates/edge/tests/narrow_links.rs
@@ -1,5 +1,6 @@
 //! Bytes of control messages on the link of a small host, at the size of two deployments.
 
+use tarragon_dispatch::admission;
 use tarragon_edge::keys::{Change, Map, Patch, Range};
 use tarragon_edge::peer::Frame;
 use tarragon_owner::plan::Holder;
@@ -51,6 +52,8 @@
         catalog: 123_456,
         entries: 123_456,
         changed: 123_456,
+        evacuations: None,
+        shares: Vec::new(),
     }
 }
 
@@ -65,6 +68,9 @@
         traffic: vec![("svc-keyed".to_owned(), keys.collect())],
         served: served.collect(),
         crashes: Vec::new(),
+        clock_us: 86_400_000_000,
+        zone: "north-a".to_owned(),
+        overload: admission::Report::default(),
     }
 }
 
