Place the revisions of the store in its era

Cause: after a drill the store uses revisions again, so a version of the lost writes compares as later than one of the new ones, and a conditional write may meet another object of the same revision. Change: a version holds the era in its high bits; the client adds the era that the dialect decodes from the response and takes it off what it sends. Responses whose era is missing, malformed or falling count as lost, writes that expect a version of an earlier era are not sent, watches from one list again, and lists of pages of two eras begin again. Without the header nothing changes.

--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -7,7 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::error::Error;
-use crate::object::{Changes, Key, List, Object, Version};
+use crate::object::{Changes, Era, Key, List, Object, Version};
 
 /// Future of a store response, which borrows the call's arguments.
 pub type ResponseFuture<'a, T> = BoxFuture<'a, Result<T, Error>>;
@@ -52,4 +52,9 @@
         wait: Duration,
         stop: &'a CancellationToken,
     ) -> ResponseFuture<'a, Changes>;
+
+    /// Returns the latest era that the store has told; see [`Version`].
+    fn era(&self) -> Era {
+        Era::UNKNOWN
+    }
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -20,8 +20,9 @@
 
 use crate::api::{Api, ResponseFuture};
 use crate::dialect::{Dialect, Native, Request};
+use crate::era::{Placed, Tracker};
 use crate::error::{Error, Kind, Operation};
-use crate::object::{Changes, Key, List, Object, Version};
+use crate::object::{Changes, Era, Key, List, Object, Version};
 
 /// Default timeout of a call other than a watch.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -36,6 +37,7 @@
     endpoint: SocketAddr,
     timeout: Duration,
     dialect: Box<dyn Dialect>,
+    era: Tracker,
 }
 
 impl Client {
@@ -75,11 +77,12 @@
             endpoint,
             timeout,
             dialect,
+            era: Tracker::default(),
         })
     }
 
-    /// Sends a call and returns the body of a successful response.
-    async fn send(&self, call: Call<'_>, stop: &CancellationToken) -> Result<Bytes, Kind> {
+    /// Sends a call and returns the body of a successful response, and its era.
+    async fn send(&self, call: Call<'_>, stop: &CancellationToken) -> Result<(Bytes, Era), Kind> {
         if stop.is_cancelled() {
             return Err(Kind::Cancelled);
         }
@@ -117,11 +120,12 @@
         Ok(Response {
             status: head.status,
             body,
+            era: self.dialect.era(&head.headers),
         })
     }
 
-    /// Sends a call and decodes the response body with `read`.
-    async fn call<T>(
+    /// Sends a call, decodes the response body with `read`, and places its revisions in its era.
+    async fn call<T: Placed>(
         &self,
         call: Call<'_>,
         stop: &CancellationToken,
@@ -129,28 +133,46 @@
     ) -> Result<T, Error> {
         let operation = call.operation;
         let object = call.object.to_string();
-        let body = self.send(call, stop).await;
-        body.and_then(|body| read(&body).map_err(|text| unreadable(operation, text)))
-            .map_err(|kind| Error::new(operation, &object, &self.endpoint.to_string(), kind))
+        let decoded = self.send(call, stop).await.and_then(|(body, era)| {
+            let decoded = read(&body).map_err(|text| unreadable(operation, text))?;
+            let placed = decoded.placed(era);
+            placed.ok_or_else(|| unreadable(operation, "revision too large".to_owned()))
+        });
+        decoded.map_err(|kind| Error::new(operation, &object, &self.endpoint.to_string(), kind))
     }
 
-    /// Returns the body of a successful response, or the error for its status.
-    fn check_status(&self, operation: Operation, response: Response) -> Result<Bytes, Kind> {
-        match response.status {
-            StatusCode::OK | StatusCode::CREATED => Ok(response.body),
-            StatusCode::NOT_FOUND => Err(Kind::NotFound),
-            StatusCode::CONFLICT => Err(match self.dialect.version(&response.body) {
-                Ok(version) => Kind::Conflict { version },
-                Err(text) => Kind::Corrupt(text),
-            }),
-            StatusCode::GONE => Err(Kind::TooOld),
-            StatusCode::PAYLOAD_TOO_LARGE => Err(Kind::TooLarge),
-            StatusCode::TOO_MANY_REQUESTS => Err(Kind::Throttled),
-            StatusCode::SERVICE_UNAVAILABLE => Err(Kind::Unavailable("status 503".to_owned())),
-            status if status.is_client_error() => Err(Kind::Refused {
-                status: status.as_u16(),
-            }),
-            status => Err(ambiguous_failure(operation, &format!("status {status}"))),
+    /// Returns the body of a successful response and its era, or the error for its status.
+    ///
+    /// Responses that state a revision, or that an object does not exist, need a usable era. One
+    /// that says that nothing was executed says so in every era.
+    fn check_status(&self, operation: Operation, response: Response) -> Result<(Bytes, Era), Kind> {
+        let status = response.status;
+        let is_placed = status.is_success()
+            || [
+                StatusCode::NOT_FOUND,
+                StatusCode::CONFLICT,
+                StatusCode::GONE,
+            ]
+            .contains(&status);
+        if !is_placed {
+            return Err(failure(operation, status));
+        }
+        let era = self.era.note(response.era).map_err(|text| match status {
+            // The write was rejected by what may be another copy; it is not executed by this one.
+            StatusCode::CONFLICT | StatusCode::NOT_FOUND => Kind::Unavailable(text),
+            _ => ambiguous_failure(operation, &text),
+        })?;
+        match status {
+            StatusCode::OK | StatusCode::CREATED => Ok((response.body, era)),
+            StatusCode::CONFLICT => {
+                let version = self.dialect.version(&response.body);
+                let version = version.map_err(Kind::Corrupt)?.placed(era);
+                Err(version.map_or_else(
+                    || Kind::Corrupt("revision too large".to_owned()),
+                    |version| Kind::Conflict { version },
+                ))
+            }
+            status => Err(failure(operation, status)),
         }
     }
 
@@ -166,6 +188,10 @@
             // A watch from the first page's revision reports every later change again.
             if after.is_none() {
                 list.revision = page.list.revision;
+            } else if page.list.revision.era() != list.revision.era() {
+                // The pages are of two copies, so the list may lack objects of either one.
+                (list, after) = (List::default(), None);
+                continue;
             }
             list.items.extend(page.list.items);
             if page.next.is_none() {
@@ -203,7 +229,8 @@
         stop: &'a CancellationToken,
     ) -> ResponseFuture<'a, Version> {
         async move {
-            let request = self.dialect.put(key, expected, value);
+            self.check_expected(Operation::Put, key, expected)?;
+            let request = self.dialect.put(key, Version(expected.revision()), value);
             if request.body.len() > MAX_VALUE_BYTES {
                 let endpoint = self.endpoint.to_string();
                 let object = key.to_string();
@@ -228,7 +255,9 @@
         stop: &'a CancellationToken,
     ) -> ResponseFuture<'a, ()> {
         async move {
-            let call = Call::new(Operation::Delete, &key, self.dialect.delete(key, expected));
+            self.check_expected(Operation::Delete, key, expected)?;
+            let request = self.dialect.delete(key, Version(expected.revision()));
+            let call = Call::new(Operation::Delete, &key, request);
             self.call(call, stop, |_| Ok(())).await
         }
         .boxed()
@@ -242,16 +271,60 @@
         stop: &'a CancellationToken,
     ) -> ResponseFuture<'a, Changes> {
         async move {
-            let request = self.dialect.watch(kind, after, wait.as_millis());
+            let too_old = || {
+                let endpoint = self.endpoint.to_string();
+                Error::new(Operation::Watch, kind, &endpoint, Kind::TooOld)
+            };
+            if is_earlier(after, self.era.known()) {
+                return Err(too_old());
+            }
+            let position = Version(after.revision());
+            let request = self.dialect.watch(kind, position, wait.as_millis());
             let call = Call {
                 wait,
                 ..Call::new(Operation::Watch, &kind, request)
             };
             let read = |body: &[u8]| self.dialect.changes(kind, body);
-            self.call(call, stop, read).await
+            let changes = self.call(call, stop, read).await?;
+            if is_earlier(after, changes.revision.era()) {
+                // The changes follow a revision of this era that bears the same number.
+                return Err(too_old());
+            }
+            Ok(changes)
         }
         .boxed()
     }
+
+    fn era(&self) -> Era {
+        self.era.known()
+    }
+}
+
+impl Client {
+    /// Fails if a write expects a version of an earlier era: an object of this era may have the same
+    /// revision.
+    fn check_expected(
+        &self,
+        operation: Operation,
+        key: Key<'_>,
+        expected: Version,
+    ) -> Result<(), Error> {
+        if !is_earlier(expected, self.era.known()) {
+            return Ok(());
+        }
+        let endpoint = self.endpoint.to_string();
+        Err(Error::new(
+            operation,
+            &key.to_string(),
+            &endpoint,
+            Kind::EarlierEra,
+        ))
+    }
+}
+
+/// Returns whether a version was told before `era`; an absent object has none.
+fn is_earlier(version: Version, era: Era) -> bool {
+    version != Version::ABSENT && version.era() < era
 }
 
 /// One call to the store, with the context for its errors.
@@ -280,6 +353,22 @@
 struct Response {
     status: StatusCode,
     body: Bytes,
+    era: Result<Option<Era>, String>,
+}
+
+/// Returns the error for the status of a response that is no success.
+fn failure(operation: Operation, status: StatusCode) -> Kind {
+    match status {
+        StatusCode::NOT_FOUND => Kind::NotFound,
+        StatusCode::GONE => Kind::TooOld,
+        StatusCode::PAYLOAD_TOO_LARGE => Kind::TooLarge,
+        StatusCode::TOO_MANY_REQUESTS => Kind::Throttled,
+        StatusCode::SERVICE_UNAVAILABLE => Kind::Unavailable("status 503".to_owned()),
+        status if status.is_client_error() => Kind::Refused {
+            status: status.as_u16(),
+        },
+        status => ambiguous_failure(operation, &format!("status {status}")),
+    }
 }
 
 async fn collect(body: Body) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -4,12 +4,12 @@
 //! responses to decode, so that a platform with other paths and field names needs no other client.
 
 use bytes::Bytes;
-use http::Method;
+use http::{HeaderMap, Method};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::object::{Changes, Key, List, Object, Version};
+use crate::object::{Changes, Era, Key, List, Object, Version};
 
 /// HTTP request of one call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,7 +45,8 @@
 
 /// Encoding of the requests and responses of one platform.
 ///
-/// The decoding functions fail with a description of what is wrong with the body.
+/// The decoding functions fail with a description of what is wrong with the body. Versions that a
+/// dialect encodes and decodes are revisions as the store counts them; the client adds the era.
 pub trait Dialect: Send + Sync {
     /// Encodes the read of one object.
     fn get(&self, key: Key<'_>) -> Request;
@@ -82,6 +83,14 @@
     ///
     /// A description of what is wrong with the body.
     fn version(&self, body: &[u8]) -> Result<Version, String>;
+    /// Decodes the era in the headers of a response; `None` if the store does not tell it.
+    ///
+    /// # Errors
+    ///
+    /// A description of what is wrong with the header.
+    fn era(&self, _headers: &HeaderMap) -> Result<Option<Era>, String> {
+        Ok(None)
+    }
 }
 
 /// Encoding of this project's own object API.
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -105,6 +105,9 @@
         /// Version that the object has, zero when it does not exist.
         version: Version,
     },
+    /// The write expected a version of an earlier era of the store and was not sent; read again.
+    #[error("expected a version of an earlier era")]
+    EarlierEra,
     /// The store's rate limit was exceeded; nothing was executed.
     #[error("store rate limit exceeded")]
     Throttled,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod api;
 pub mod client;
 pub mod dialect;
+pub mod era;
 pub mod error;
 pub mod object;
 pub mod update;
--- a/crates/store/src/update.rs
+++ b/crates/store/src/update.rs
@@ -156,6 +156,18 @@
             Kind::Conflict { version } => {
                 Ok(self.after_conflict(key, version, value.token(), stop).await)
             }
+            // The object is another one than the writer knows, whatever its revision.
+            Kind::EarlierEra => match self.api.get(key, stop).await {
+                Ok(object) => Ok(WriteOutcome::Conflict {
+                    version: object.version,
+                    value: object.decode::<T>().ok(),
+                }),
+                Err(error) if error.kind == Kind::NotFound => Ok(WriteOutcome::Conflict {
+                    version: Version::ABSENT,
+                    value: None,
+                }),
+                Err(error) => Err(error),
+            },
             Kind::Uncertain(_) if self.seeded_fault == SeededFault::BlindSecondWrite => {
                 self.write_blindly(key, &json, stop).await
             }
