Hold back grants after a restore, and draw restores in the schedules

Cause: after the store came back from an older copy, servers may hold keys under plans and granters that it does not name any more.

--- a/crates/owner/src/granter.rs
+++ b/crates/owner/src/granter.rs
@@ -12,6 +12,7 @@
 use crate::plan::{Holder, Plan, Segment};
 
 pub mod freed;
+mod held_back;
 mod segment;
 
 /// Intervals and timeouts of a granter.
@@ -156,6 +157,8 @@
     states: Vec<SegmentState>,
     /// When every earlier granter was known to have stopped, if it is known.
     sole_since: Option<Instant>,
+    /// Whether only renewals are sent until the grants of unknown granters have expired.
+    held_back: bool,
     /// Keys that were freed and not taken by the caller yet.
     freed: Vec<Freed>,
     /// Number of the next command.
@@ -192,6 +195,7 @@
             plan,
             states,
             sole_since: sole.then_some(now),
+            held_back: false,
             freed: Vec::new(),
             // An earlier granter of this process used lower numbers: it gave out fewer than one in a
             // microsecond.
@@ -240,6 +244,9 @@
         liveness: &dyn Fn(&Holder) -> Liveness,
         now: Instant,
     ) -> Option<Plan> {
+        if self.is_held_back(now) {
+            return None;
+        }
         let movable = |segment: &Segment| {
             let state = self.state(segment);
             state.is_some_and(|state| self.movable(state, inputs, liveness, now))
@@ -369,6 +376,7 @@
         let timing = self.timing;
         let seeded_fault = self.seeded_fault;
         let sole_since = self.sole_since;
+        let held_back = self.is_held_back(now);
         let mut commands = Vec::new();
         for state in &mut self.states {
             if seeded_fault == SeededFault::DropLateOutcome {
@@ -376,7 +384,8 @@
             }
             let freed = state.update_phase(liveness, sole_since, &timing, seeded_fault, now);
             self.freed.extend(freed);
-            if state.is_due(liveness, &timing, now) {
+            let allowed = !held_back || state.is_revoking() || state.accepted;
+            if allowed && state.is_due(liveness, &timing, now) {
                 commands.push(state.next_command(self.next_number, now));
                 self.next_number += 1;
             }
--- a/crates/owner/src/granter/segment.rs
+++ b/crates/owner/src/granter/segment.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns whether the previous holder may still hold the keys.
+    pub(super) fn is_revoking(&self) -> bool {
+        matches!(self.phase, Phase::Revoking(..))
+    }
+
     /// Returns whether a server is assigned the keys, or still has to give them up.
     fn may_be_held_by(&self, server_id: &str) -> bool {
         self.segment.holder.id == server_id || self.holder_to_revoke().holder.id == server_id
--- a/crates/owner/src/votes.rs
+++ b/crates/owner/src/votes.rs
@@ -42,20 +42,43 @@
     next: u64,
     /// Number of the latest write that was answered.
     answered: u64,
+    /// Voters of the earlier granters that the claim replaced.
+    replaced: Vec<Vec<String>>,
 }
 
 impl Voters {
     /// Creates the voters that were written with the claim of the record.
     #[must_use]
-    pub const fn new(written: Vec<String>) -> Self {
+    pub fn new(written: Vec<String>) -> Self {
         Self {
             written,
             proposed: Vec::new(),
             next: 0,
             answered: 0,
+            replaced: Vec::new(),
         }
     }
 
+    /// Counts a majority of each of `replaced` too, or of no other set if there is none.
+    ///
+    /// A term that is younger than a copy of the store may be forgotten by it. These voters are
+    /// those that the copy has, and that a later granter asks.
+    ///
+    /// ```
+    /// use tarragon_owner::votes::Voters;
+    ///
+    /// let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect::<Vec<_>>();
+    /// let mut voters = Voters::new(names(&["a"]));
+    /// voters.require(vec![names(&["a", "b", "c"])]);
+    /// assert!(!voters.has_majority(&names(&["a"])));
+    /// voters.require(Vec::new());
+    /// assert!(voters.has_majority(&names(&["a"])));
+    /// ```
+    pub fn require(&mut self, replaced: Vec<Vec<String>>) {
+        self.replaced = replaced;
+        self.replaced.retain(|voters| !voters.is_empty());
+    }
+
     /// Notes that a write of `voters` begins, and returns its number.
     pub fn propose(&mut self, voters: &[String]) -> u64 {
         self.next += 1;
@@ -95,14 +118,41 @@
             let votes = voters.iter().filter(|v| followers.contains(v.as_str()));
             votes.count() * 2 > voters.len()
         };
-        majority(&self.written) && self.proposed.iter().all(|(_, voters)| majority(voters))
+        majority(&self.written)
+            && self.proposed.iter().all(|(_, voters)| majority(voters))
+            && self.replaced.iter().all(|voters| majority(voters))
     }
 }
 
 /// Returns whether `followers` of a later granter contain at least half of an earlier one's
 /// `voters`, so that no majority of them can confirm the earlier one.
+///
+/// A voter is a host and the incarnation of its process, `host/incarnation`. One whose host runs a
+/// later process has ended and confirms nobody, so it counts too.
+///
+/// ```
+/// use tarragon_owner::votes::is_blocked;
+///
+/// let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect::<Vec<_>>();
+/// let voters = names(&["a/7", "b/4", "c/5"]);
+/// assert!(!is_blocked(&voters, &names(&["a/7", "b/3"])));
+/// assert!(is_blocked(&voters, &names(&["a/7", "b/12"])));
+/// ```
 #[must_use]
 pub fn is_blocked(voters: &[String], followers: &[String]) -> bool {
-    let here = voters.iter().filter(|voter| followers.contains(voter));
+    let here = voters
+        .iter()
+        .filter(|voter| followers.iter().any(|follower| replaces(follower, voter)));
     here.count() * 2 >= voters.len().max(1)
 }
+
+/// Returns whether `process` is `voter`, or a later process of its host.
+fn replaces(process: &str, voter: &str) -> bool {
+    let incarnation = |id: &str| id.rsplit_once('/')?.1.parse::<u64>().ok();
+    let host = |id: &str| id.rsplit_once('/').map(|(host, _)| host.to_owned());
+    process == voter
+        || (host(process).is_some()
+            && host(process) == host(voter)
+            && incarnation(process) > incarnation(voter)
+            && incarnation(voter).is_some())
+}
--- a/crates/owner/tests/schedules.rs
+++ b/crates/owner/tests/schedules.rs
@@ -59,6 +59,18 @@
     check_schedules(Simulation::with_slow_hosts);
 }
 
+/// Guards against keys held twice, or lost for long, after the store came back from an older copy.
+#[test]
+fn every_key_has_one_holder_if_the_store_is_restored() {
+    check_schedules(Simulation::with_restores);
+}
+
+/// Guards against the same beside late grants of slow hosts.
+#[test]
+fn every_key_has_one_holder_if_the_store_is_restored_beside_slow_hosts() {
+    check_schedules(Simulation::with_restores_and_slow_hosts);
+}
+
 /// Seeds of schedules that failed before. In one kind, a grant was sent after the release of its
 /// keys and reached the next incarnation of the holder. In the other, grants that were executed
 /// after their expiry counted as accepted.
@@ -123,3 +135,23 @@
 detects!(unsent_bytes_that_are_kept_are_detected, Fault::KeepUnsent);
 detects!(grant_before_plan_is_detected, Fault::GrantBeforePlan);
 detects!(reused_fence_is_detected, Fault::FenceReused);
+detects!(
+    a_store_without_eras_is_detected,
+    Fault::IgnoreEra,
+    Simulation::with_restores
+);
+detects!(
+    trust_in_an_old_plan_is_detected,
+    Fault::TrustOldPlan,
+    Simulation::with_restores
+);
+detects!(
+    trust_in_an_old_record_is_detected,
+    Fault::TrustOldRecord,
+    Simulation::with_restores
+);
+detects!(
+    a_term_kept_over_a_restore_is_detected,
+    Fault::KeepOldTerm,
+    Simulation::with_restores
+);
