Keep plans, terms and cluster state over a restore of the store

Cause: the granter took an older plan of the store for the latest, stepped down if an older record named another host, and hosts dropped entries and leaves that the copy lacked. Change: a granter that was renewed in time, or that a majority follows, writes its record and its plans again before any key moves, and renews meanwhile; otherwise it claims the record anew and counts a granter that the record does not name among its predecessors. Records and plans state the era in which they were written. A granter that finds a plan of an earlier era takes the later of it and its key map, and grants nothing until all earlier grants have expired. Missing entries have the grace of an outage, a leave outlasts an older entry, and an older catalog is logged and not applied.

--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -18,6 +18,7 @@
 use crate::state::State;
 
 pub mod outage;
+mod restored;
 mod watcher;
 
 use self::outage::Detector;
@@ -373,6 +374,7 @@
         }
         match state.platform.parse_catalog(&object.value) {
             Ok(catalog) => {
+                restored::log_older(state, &catalog, object.version);
                 if state.apply_catalog(catalog, object.version.0) {
                     *self.catalog.borrow_mut() = Some(object);
                 }
@@ -387,7 +389,10 @@
 
     fn apply_entry(&self, state: &State, object: Object) {
         match state.platform.parse_entry(&object.name, &object.value) {
-            Ok(entry) => state.update_server(entry, object.version.0),
+            Ok(mut entry) => {
+                entry.draining |= restored::hides_leave(state, &entry, object.version);
+                state.update_server(entry, object.version.0);
+            }
             Err(text) => log::warn!(
                 "event=entry-unreadable id={} revision={} error=\"{text}\"",
                 object.name,
--- a/crates/edge/src/cluster/outage.rs
+++ b/crates/edge/src/cluster/outage.rs
@@ -82,6 +82,22 @@
         Some(outage)
     }
 
+    /// Notes that the store came back from an older copy, which may lack entries.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tarragon_edge::cluster::outage::Detector;
+    /// use tarragon_model::time::Instant;
+    ///
+    /// let now = Instant::from_millis(1_000);
+    /// let mut detector = Detector::default();
+    /// detector.record_restore(now);
+    /// assert!(detector.grace(now) > Duration::from_secs(1));
+    /// ```
+    pub fn record_restore(&mut self, now: Instant) {
+        self.ended_at = Some(now);
+    }
+
     /// Returns whether an outage that may expire entries goes on.
     #[must_use]
     pub fn is_ongoing(&self, now: Instant) -> bool {
--- a/crates/edge/src/cluster/watcher.rs
+++ b/crates/edge/src/cluster/watcher.rs
@@ -120,6 +120,7 @@
             }
         }
         Subject::Entries => {
+            cluster.note_era(state, revision);
             let grace = cluster.removal_grace(state);
             cluster.replace_entries(state, list, grace);
         }
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -18,7 +18,7 @@
 use tarragon_owner::votes::Pledge;
 use tarragon_store::api::Api;
 use tarragon_store::error::Error;
-use tarragon_store::object::{Key, Version};
+use tarragon_store::object::{Era, Key, Version};
 use tarragon_store::update::{Token, WriteOutcome};
 use tokio::sync::mpsc::{self, Receiver, UnboundedSender};
 
@@ -31,6 +31,7 @@
 
 mod elected;
 mod links;
+mod restored;
 mod store;
 
 /// Store object that names the granter.
@@ -101,6 +102,9 @@
     /// Earlier granters that are not known to have stopped.
     #[serde(default, rename = "former")]
     pub predecessors: Vec<Process>,
+    /// Era of the store that the writer knew.
+    #[serde(default, skip_serializing_if = "restored::is_unknown")]
+    pub era: Era,
 }
 
 /// Process of a host that is or was the granter.
@@ -462,6 +466,7 @@
             return;
         };
         let own = process_id(&self.state.settings.host, self.state.incarnation);
+        elected.count_own_voters(now);
         let confirmed = elected.is_confirmed(&own, now);
         elected.drop_blocked_predecessors(&own, now);
         let exclusive_until = elected.exclusive_until();
@@ -490,12 +495,13 @@
             .iter()
             .map(|p| p.process.clone())
             .collect();
-        if now.since(elected.last_renewal) >= RENEWAL_INTERVAL && !elected.renewing {
+        let interval = elected.renewal_interval(self.api.era());
+        if now.since(elected.last_renewal) >= interval && !elected.renewing {
             let voters = elected.followers(&own, now);
             let proposal = elected.voters.propose(&voters);
             elected.last_renewal = now;
             elected.renewing = true;
-            let (term, version) = (elected.term, elected.record_version);
+            let (term, version) = (elected.term, elected.take_expected());
             let written = voters.clone();
             self.write_record(version, written, predecessors.clone(), move |result| {
                 StoreResponse::Renewed {
--- a/crates/edge/src/election/elected.rs
+++ b/crates/edge/src/election/elected.rs
@@ -37,6 +37,10 @@
     pub(super) resumed_at: Instant,
     /// Whether the term was unconfirmed at the last tick.
     pub(super) paused: bool,
+    /// When the record was claimed.
+    pub(super) claimed: Instant,
+    /// Version that the next renewal expects, if another than [`Elected::record_version`].
+    pub(super) expected: Option<Version>,
 }
 
 /// Earlier granter that is not known to have stopped.
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use tarragon_model::time::Instant;
-use tarragon_owner::votes::Voters;
 use tarragon_store::api::Api;
 use tarragon_store::error::{Error, Kind};
-use tarragon_store::object::{Key, Version};
+use tarragon_store::object::{Era, Key, Version};
 use tarragon_store::update::{WriteOutcome, Writer};
 
 use super::elected::{Elected, Predecessor};
@@ -53,7 +52,8 @@
             self.store_responses.clone(),
         );
         tokio::task::spawn_local(async move {
-            let record = own_record(&state, false, voters, predecessors);
+            let era = api.era();
+            let record = own_record(&state, false, (voters, predecessors), era);
             let writer = Writer::new(&*api);
             let result = writer
                 .update(RECORD_KEY, expected, &record, &state.stop)
@@ -141,7 +141,7 @@
         }
     }
 
-    fn own_id(&self) -> String {
+    pub(super) fn own_id(&self) -> String {
         process_id(&self.state.settings.host, self.state.incarnation)
     }
 
@@ -159,8 +159,9 @@
     /// Returns the granters up to version `expected` of the record that may still send commands.
     pub(super) fn predecessors(&self, expected: Version) -> Vec<Process> {
         let known = self.record.as_ref();
+        let forgotten = self.forgotten_granter(expected);
         let Some((_, record)) = known.filter(|(version, _)| *version == expected) else {
-            return Vec::new();
+            return forgotten.into_iter().collect();
         };
         let own = record.host == self.state.settings.host;
         let mut predecessors = record.predecessors.clone();
@@ -173,6 +174,7 @@
                 voters: record.voters.clone(),
             });
         }
+        predecessors.extend(forgotten);
         predecessors
     }
 
@@ -231,6 +233,7 @@
                 .collect::<Vec<_>>()
                 .join(",")
         );
+        let voters = self.first_voters(&predecessors);
         self.cluster.become_granter();
         self.state.is_granter.set(true);
         let grants = Grants::new(
@@ -255,12 +258,14 @@
                 })
                 .collect(),
             last_confirmed: sent,
-            voters: Voters::new(vec![self.own_id()]),
+            voters,
             acknowledged: HashMap::new(),
             max_cores: self.state.settings.cores,
             last_tick: now,
             resumed_at: now,
             paused: false,
+            claimed: now,
+            expected: None,
         }));
         let announcement = Frame::Elected {
             record_version: record_version.0,
@@ -283,6 +288,12 @@
             return;
         }
         elected.renewing = false;
+        if let Ok(outcome) = &result
+            && elected.is_restored(outcome, self.api.era())
+        {
+            self.on_restored((proposal, voters), outcome);
+            return;
+        }
         match result {
             Ok(WriteOutcome::Applied { version }) => {
                 elected.record_version = elected.record_version.max(version);
@@ -328,8 +339,15 @@
             .iter()
             .map(|p| p.process.clone())
             .collect();
+        let era = self.api.era();
+        // A claim of the record after a restore asks these voters.
+        let voters = if era == Era::UNKNOWN {
+            Vec::new()
+        } else {
+            elected.followers(&self.own_id(), self.state.now())
+        };
         self.stop_granting();
-        let record = own_record(&self.state, true, Vec::new(), predecessors);
+        let record = own_record(&self.state, true, (voters, predecessors), era);
         let writer = Writer::new(&*self.api);
         let update = writer.update(RECORD_KEY, expected, &record, &self.state.stop);
         match update.await {
@@ -346,8 +364,8 @@
 fn own_record(
     state: &State,
     vacant: bool,
-    voters: Vec<String>,
-    predecessors: Vec<Process>,
+    (voters, predecessors): (Vec<String>, Vec<Process>),
+    era: Era,
 ) -> Record {
     Record {
         token: format!("{:016x}{:016x}", state.incarnation, rand::random::<u64>()),
@@ -357,6 +375,7 @@
         vacant,
         voters,
         predecessors,
+        era,
     }
 }
 
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -17,7 +17,7 @@
 use tarragon_owner::speeds::Speeds;
 use tarragon_store::api::Api;
 use tarragon_store::error::Error;
-use tarragon_store::object::Version;
+use tarragon_store::object::{Era, Version};
 use tarragon_store::update::{Token, WriteOutcome};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -31,6 +31,7 @@
 mod departure;
 mod plans;
 mod report;
+mod restored;
 
 /// Kind of the store objects that hold a service's plan.
 pub const PLAN_KIND: &str = "tarragon-plans";
@@ -67,6 +68,10 @@
     pub term: u64,
     /// The plan.
     pub plan: Plan,
+    /// Era of the store in which the plan was last reconciled: written while no grant under a plan
+    /// that the store has forgotten could remain.
+    #[serde(default, skip_serializing_if = "restored::is_unknown")]
+    pub era: Era,
 }
 
 impl Token for Record {
@@ -139,6 +144,8 @@
     /// other host can have been elected before: one that read the plan before would renew grants
     /// that this granter does not know of.
     written: Option<(Plan, Instant)>,
+    /// What has to be done about a plan that the store may have forgotten.
+    restored: restored::Duty,
     /// Until when no store call is made after a failure, and the length of that pause.
     backoff: (Instant, Duration),
     loads: Loads,
@@ -160,6 +167,8 @@
     pool: Rc<Pool>,
     term: u64,
     sole_granter: bool,
+    /// Era of the store in which the term was last found to be the latest.
+    era: Era,
     services: BTreeMap<String, Service>,
     /// Backend servers to which commands fail: when that began, and the latest failure.
     failures: HashMap<String, (Instant, Instant)>,
@@ -190,6 +199,7 @@
             pool: Rc::new(command::pool(timing.response_timeout)),
             term,
             sole_granter,
+            era: Version(term).era(),
             services: BTreeMap::new(),
             failures: HashMap::new(),
             send_until: Rc::new(Cell::new(Instant::ZERO)),
@@ -268,7 +278,7 @@
             }
             self.tick_service(&service.name, now);
         }
-        self.take_map_updates()
+        self.take_map_updates(now)
     }
 
     /// Returns all key maps, for a host that has none.
@@ -281,7 +291,7 @@
         maps.collect()
     }
 
-    fn take_map_updates(&mut self) -> Vec<(String, Update)> {
+    fn take_map_updates(&mut self, now: Instant) -> Vec<(String, Update)> {
         let mut updates = Vec::new();
         for (name, service) in &mut self.services {
             let version = (self.term, service.changes);
@@ -289,7 +299,9 @@
             if before.is_some_and(|map| map.version == version) {
                 continue;
             }
-            let Some(granter) = &service.granter else {
+            // Until then, hosts use the key map of the granter before.
+            let ready = |granter: &&Granter| before.is_some() || !granter.is_held_back(now);
+            let Some(granter) = service.granter.as_ref().filter(ready) else {
                 continue;
             };
             let map = Map::from_granter(granter, version);
@@ -307,7 +319,9 @@
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
-        service.adopt_written(self.exclusive_until, now);
+        if self.api.era() <= self.era {
+            service.adopt_written(self.exclusive_until, now);
+        }
         let Some(granter) = &mut service.granter else {
             if service.call_pending || now < service.backoff.0 {
                 return;
@@ -331,11 +345,15 @@
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
-        if service.write_unresolved {
+        if service.write_unresolved || service.restored.compare {
             if !service.call_pending && now >= service.backoff.0 {
                 service.call_pending = true;
                 self.read_plan(name);
             }
+        } else if self.api.era() > self.era {
+            // The election decides first whether this term goes on in the new era.
+        } else if service.is_reconciliation_due(self.era, now) {
+            self.reconcile(name, now);
         } else if service.is_plan_due(now) {
             self.update_plan(name, now);
         }
@@ -499,6 +517,7 @@
             call_pending: false,
             write_unresolved: false,
             written: None,
+            restored: restored::Duty::default(),
             backoff: (now, Duration::ZERO),
             loads: Loads::new(now),
             speeds: Speeds::default(),
--- a/crates/edge/src/granting/plans.rs
+++ b/crates/edge/src/granting/plans.rs
@@ -6,7 +6,7 @@
 use tarragon_owner::granter::{Granter, PlanInputs};
 use tarragon_owner::plan::{Holder, Plan};
 use tarragon_store::error::{Error, Kind};
-use tarragon_store::object::{Key, Version};
+use tarragon_store::object::{Era, Key, Version};
 use tarragon_store::update::{WriteOutcome, Writer};
 
 use super::{Completion, Grants, PLAN_KIND, Record, STABLE_TIME, Service, deliver, liveness};
@@ -51,8 +51,9 @@
             rates.total(0, u16::MAX)
         );
         service.call_pending = true;
+        service.restored.written_as = self.era;
         let expected = service.version;
-        self.write_plan(name, plan, expected);
+        self.write_plan(name, plan, expected, self.era);
     }
 
     pub(super) fn read_plan(&self, name: &str) {
@@ -75,7 +76,7 @@
         });
     }
 
-    fn write_plan(&self, name: &str, plan: Plan, expected: Version) {
+    pub(super) fn write_plan(&self, name: &str, plan: Plan, expected: Version, era: Era) {
         let (state, api, completions) = (
             self.state.clone(),
             self.api.clone(),
@@ -86,6 +87,7 @@
             token: format!("{:016x}{:016x}", state.incarnation, rand::random::<u64>()),
             term,
             plan: plan.clone(),
+            era,
         };
         tokio::task::spawn_local(async move {
             let key = Key::new(PLAN_KIND, &service);
@@ -115,6 +117,12 @@
             return;
         };
         service.call_pending = false;
+        let Some(result) = self.compare_restored(name, result, now) else {
+            return;
+        };
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
         match result {
             // The later granter has no account of grants that this one would send under its plan.
             Ok(Some((version, record))) if record.term > self.term => {
@@ -177,7 +185,12 @@
             .map(|candidate| (candidate.holder, candidate.capacity))
             .collect();
         service.call_pending = true;
-        self.write_plan(name, Plan::assign(&weights, 1), Version::ABSENT);
+        let (sequence, era) = self.first_sequence();
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.restored.written_as = era;
+        self.write_plan(name, Plan::assign(&weights, sequence), Version::ABSENT, era);
     }
 
     pub(super) fn on_written(
@@ -188,11 +201,15 @@
         now: Instant,
     ) {
         let (sole_granter, timing) = (self.sole_granter, self.timing());
-        let exclusive_until = self.exclusive_until;
+        let (exclusive_until, era) = (self.exclusive_until, self.era);
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
         service.call_pending = false;
+        if service.is_restored(&result) {
+            service.note_restored(name, now);
+            return;
+        }
         match &result {
             Ok(_) => service.backoff.1 = Duration::ZERO,
             Err(_) => service.back_off(now),
@@ -203,8 +220,14 @@
             Ok(WriteOutcome::Applied { version }) => {
                 service.version = version;
                 service.changes += 1;
+                service.restored.on_written();
                 match &mut service.granter {
                     Some(_) => service.on_applied(name, plan, exclusive_until, now),
+                    None if service.restored.reconciled < era => {
+                        let mut granter = Granter::new(plan, sole_granter, timing, now);
+                        granter.hold_back(sole_granter, now);
+                        service.granter = Some(granter);
+                    }
                     // This is the service's first plan, so no earlier granter has granted anything.
                     None => service.granter = Some(Granter::new(plan, true, timing, now)),
                 }
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use tarragon_store::api::{Api, ResponseFuture};
 use tarragon_store::error::{Error, Kind, Operation};
-use tarragon_store::object::{Change, Changes, Key, List, Object, Version};
+use tarragon_store::object::{Change, Changes, Era, Key, List, Object, Version};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -35,9 +35,13 @@
     max_wait: Duration,
     objects: Mutex<BTreeMap<(String, String), (Version, Value)>>,
     revision: Mutex<u64>,
+    era: Mutex<Era>,
     calls: AtomicU32,
 }
 
+/// Objects and revision of a store.
+pub struct Copy(BTreeMap<(String, String), (Version, Value)>, u64);
+
 impl Store {
     pub fn new() -> Self {
         Self {
@@ -47,6 +51,7 @@
             max_wait: SHORT_WAIT,
             objects: Mutex::default(),
             revision: Mutex::new(1),
+            era: Mutex::default(),
             calls: AtomicU32::new(0),
         }
     }
@@ -60,6 +65,25 @@
         }
     }
 
+    /// Copies the store.
+    pub fn copy(&self) -> Copy {
+        Copy(
+            self.objects.lock().unwrap().clone(),
+            *self.revision.lock().unwrap(),
+        )
+    }
+
+    /// Comes back from a copy, in a new era.
+    pub fn restore(&self, copy: &Copy, era: u64) {
+        *self.objects.lock().unwrap() = copy.0.clone();
+        *self.revision.lock().unwrap() = copy.1;
+        *self.era.lock().unwrap() = Era::new(era).unwrap();
+    }
+
+    fn place(&self, version: Version) -> Version {
+        Version::in_era(*self.era.lock().unwrap(), version.0).unwrap()
+    }
+
     /// Removes the entry, which ends a watch.
     pub fn remove_entry(&self) {
         self.removed.notify_one();
@@ -98,19 +122,25 @@
         Ok(Object {
             kind: key.kind.to_owned(),
             name: key.name.to_owned(),
-            version: *version,
+            version: self.place(*version),
             value: value.clone(),
         })
     }
 
     fn put(&self, key: Key<'_>, expected: Version, value: &Value) -> Result<Version, Error> {
+        let era = *self.era.lock().unwrap();
+        if expected != Version::ABSENT && expected.era() < era {
+            return Err(Self::error(Kind::EarlierEra));
+        }
+        let expected = Version(expected.revision());
         let mut objects = self.objects.lock().unwrap();
         let name = (key.kind.to_owned(), key.name.to_owned());
         let known = objects
             .get(&name)
             .map_or(Version::ABSENT, |(version, _)| *version);
         if known != expected && self.mode() == Mode::Serves {
-            return Err(Self::error(Kind::Conflict { version: known }));
+            let version = self.place(known);
+            return Err(Self::error(Kind::Conflict { version }));
         }
         let mut revision = self.revision.lock().unwrap();
         *revision += 1;
@@ -118,7 +148,7 @@
             objects.insert(name, (Version(*revision), value.clone()));
         }
         match self.mode() {
-            Mode::Serves => Ok(Version(*revision)),
+            Mode::Serves => Ok(self.place(Version(*revision))),
             Mode::Away { .. } => Err(Self::error(Kind::Uncertain("no response".to_owned()))),
         }
     }
@@ -129,13 +159,17 @@
         Box::pin(async move { self.get(key) })
     }
 
+    fn era(&self) -> Era {
+        *self.era.lock().unwrap()
+    }
+
     fn list<'a>(&'a self, kind: &'a str, _: &'a CancellationToken) -> ResponseFuture<'a, List> {
         self.calls.fetch_add(1, Ordering::SeqCst);
         Box::pin(async move {
             self.check_available()?;
             let entry = self.entry.iter().filter(|entry| entry.kind == kind);
             Ok(List {
-                revision: Version(*self.revision.lock().unwrap()),
+                revision: self.place(Version(*self.revision.lock().unwrap())),
                 items: entry.cloned().collect(),
             })
         })
