--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -19,6 +19,7 @@
 
 mod evacuation;
 pub mod outage;
+mod restored;
 mod watcher;
 
 use self::outage::Detector;
@@ -388,6 +389,7 @@
         }
         match state.platform.parse_catalog(&object.value) {
             Ok(catalog) => {
+                restored::log_older(state, &catalog, object.version);
                 if state.apply_catalog(catalog, object.version.0) {
                     *self.catalog.borrow_mut() = Some(object);
                 }
@@ -402,7 +404,10 @@
 
     fn apply_entry(&self, state: &State, object: Object) {
         match state.platform.parse_entry(&object.name, &object.value) {
-            Ok(entry) => state.update_server(entry, object.version.0),
+            Ok(mut entry) => {
+                entry.draining |= restored::hides_leave(state, &entry, object.version);
+                state.update_server(entry, object.version.0);
+            }
             Err(text) => log::warn!(
                 "event=entry-unreadable id={} revision={} error=\"{text}\"",
                 object.name,
--- a/crates/edge/src/granting.rs
+++ b/crates/edge/src/granting.rs
@@ -9,7 +9,6 @@
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::fleet::Fleet;
 use tarragon_model::time::Instant;
-use tarragon_owner::balance::Candidate;
 use tarragon_owner::granter::freed::{Freed, Reason};
 use tarragon_owner::granter::{Action, Command, CommandOutcome, Granter, Liveness, Timing};
 use tarragon_owner::loads::Loads;
@@ -17,7 +16,7 @@
 use tarragon_owner::speeds::Speeds;
 use tarragon_store::api::Api;
 use tarragon_store::error::Error;
-use tarragon_store::object::Version;
+use tarragon_store::object::{Era, Version};
 use tarragon_store::update::{Token, WriteOutcome};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -26,12 +25,14 @@
 use crate::pool::Pool;
 use crate::state::State;
 
+mod candidates;
 pub mod command;
 mod delay;
 mod departure;
 mod homes;
 mod plans;
 mod report;
+mod restored;
 
 /// Kind of the store objects that hold a service's plan.
 pub const PLAN_KIND: &str = "tarragon-plans";
@@ -46,15 +47,6 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Time for which the number of backend servers must stay the same before keys are first assigned.
 const STABLE_TIME: Duration = Duration::from_millis(1_200);
-/// Time of failed commands after which a backend server gets no keys.
-const UNREACHABLE_TIME: Duration = Duration::from_millis(1_200);
-/// Exponent of a server's slowness in its capacity. Above 1, a slow server gets less than its share,
-/// since its requests are nearer to their objective before they wait for others.
-const SLOWNESS_EXPONENT: f64 = 1.5;
-/// Fraction of its slots that a backend server counts with just after its start.
-const COLD_CAPACITY_RATIO: f64 = 0.5;
-/// Time for which a backend server counts as just started.
-const COLD_TIME: Duration = Duration::from_secs(3);
 
 /// Plan of a service as the store keeps it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -66,6 +58,10 @@
     pub term: u64,
     /// The plan.
     pub plan: Plan,
+    /// Era of the store in which the plan was last reconciled: written while no grant under a plan
+    /// that the store has forgotten could remain.
+    #[serde(default, skip_serializing_if = "restored::is_unknown")]
+    pub era: Era,
 }
 
 impl Token for Record {
@@ -138,6 +134,8 @@
     /// other host can have been elected before: one that read the plan before would renew grants
     /// that this granter does not know of.
     written: Option<(Plan, Instant)>,
+    /// What has to be done about a plan that the store may have forgotten.
+    restored: restored::Duty,
     /// Until when no store call is made after a failure, and the length of that pause.
     backoff: (Instant, Duration),
     loads: Loads,
@@ -159,6 +157,8 @@
     pool: Rc<Pool>,
     term: u64,
     sole_granter: bool,
+    /// Era of the store in which the term was last found to be the latest.
+    era: Era,
     services: BTreeMap<String, Service>,
     /// Backend servers to which commands fail: when that began, and the latest failure.
     failures: HashMap<String, (Instant, Instant)>,
@@ -190,6 +190,7 @@
             pool: Rc::new(command::pool(timing.response_timeout)),
             term,
             sole_granter,
+            era: Version(term).era(),
             services: BTreeMap::new(),
             failures: HashMap::new(),
             send_until: Rc::new(Cell::new(Instant::ZERO)),
@@ -269,7 +270,7 @@
             }
             self.tick_service(&service.name, now);
         }
-        self.take_map_updates()
+        self.take_map_updates(now)
     }
 
     /// Returns all key maps, for a host that has none.
@@ -282,7 +283,7 @@
         maps.collect()
     }
 
-    fn take_map_updates(&mut self) -> Vec<(String, Update)> {
+    fn take_map_updates(&mut self, now: Instant) -> Vec<(String, Update)> {
         let mut updates = Vec::new();
         for (name, service) in &mut self.services {
             let version = (self.term, service.changes);
@@ -290,7 +291,9 @@
             if before.is_some_and(|map| map.version == version) {
                 continue;
             }
-            let Some(granter) = &service.granter else {
+            // Until then, hosts use the key map of the granter before.
+            let ready = |granter: &&Granter| before.is_some() || !granter.is_held_back(now);
+            let Some(granter) = service.granter.as_ref().filter(ready) else {
                 continue;
             };
             let map = Map::from_granter(granter, version);
@@ -308,7 +311,9 @@
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
-        service.adopt_written(self.exclusive_until, now);
+        if self.api.era() <= self.era {
+            service.adopt_written(self.exclusive_until, now);
+        }
         let Some(granter) = &mut service.granter else {
             if service.call_pending || now < service.backoff.0 {
                 return;
@@ -332,54 +337,20 @@
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
-        if service.write_unresolved {
+        if service.write_unresolved || service.restored.compare {
             if !service.call_pending && now >= service.backoff.0 {
                 service.call_pending = true;
                 self.read_plan(name);
             }
+        } else if self.api.era() > self.era {
+            // The election decides first whether this term goes on in the new era.
+        } else if service.is_reconciliation_due(self.era, now) {
+            self.reconcile(name, now);
         } else if service.is_plan_due(now) {
             self.update_plan(name, now);
         }
     }
 
-    /// Returns the backend servers that may get keys.
-    fn candidates(&self, name: &str, now: Instant) -> Vec<Candidate> {
-        let fleet = self.state.fleet.borrow();
-        let servers = fleet.iter().filter(|server| {
-            server.entry.service == name
-                && fleet.accepts_keys(server)
-                && !self.is_unreachable(&server.entry.id, now)
-        });
-        let speeds = self.services.get(name).map(|service| &service.speeds);
-        let homes = self.state.catalog().homes(name);
-        let revision = self.state.catalog_revision();
-        let servers =
-            self.homes_unmet
-                .servers_at_home(&fleet, (name, &homes, revision), servers.collect());
-        let servers = fleet.warm_or_all(servers.into_iter(), now);
-        let candidates = servers.into_iter().map(|server| {
-            let slowness = speeds.map_or(1.0, |speeds| speeds.slowness(&server.entry.id));
-            let cold = server.known_for(now) < COLD_TIME && !server.entry.warmup.is_zero();
-            let ratio = if cold { COLD_CAPACITY_RATIO } else { 1.0 };
-            let slots = f64::from(server.entry.slots) * ratio;
-            Candidate {
-                holder: Holder {
-                    id: server.entry.id.clone(),
-                    start_ms: server.entry.start_ms,
-                },
-                capacity: slots / slowness.powf(SLOWNESS_EXPONENT),
-                throughput: slots / slowness,
-            }
-        });
-        candidates.collect()
-    }
-
-    fn is_unreachable(&self, id: &str, now: Instant) -> bool {
-        self.failures.get(id).is_some_and(|(first, last)| {
-            last.since(*first) >= UNREACHABLE_TIME && now.since(*last) < UNREACHABLE_TIME * 4
-        })
-    }
-
     fn send(&self, name: &str, command: Command, due: Instant) {
         let (state, pool) = (self.state.clone(), self.pool.clone());
         let (send_until, timing) = (self.send_until.clone(), self.timing());
@@ -508,6 +479,7 @@
             call_pending: false,
             write_unresolved: false,
             written: None,
+            restored: restored::Duty::default(),
             backoff: (now, Duration::ZERO),
             loads: Loads::new(now),
             speeds: Speeds::default(),
