--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -84,8 +84,6 @@
     pub large_response: bool,
     /// Size of its body, in bytes.
     pub request_bytes: usize,
-    /// Whether it may run more than once.
-    pub retryable: bool,
     /// Random number between 0 and 1 that breaks ties.
     pub random: f64,
 }
--- a/crates/dispatch/src/fleet/evacuated.rs
+++ b/crates/dispatch/src/fleet/evacuated.rs
@@ -4,7 +4,6 @@
 
 use super::{Fleet, Server};
 use crate::evacuation::Zones;
-use crate::warmup::Rate;
 
 impl Fleet {
     /// Returns the zones under evacuation.
@@ -37,46 +36,6 @@
         }
     }
 
-    /// Returns until when a server bears only the load of a cold one, since the evacuation of its
-    /// zone was withdrawn; `None` if it was not, or if the service limits no such load.
-    ///
-    /// ```
-    /// use std::collections::HashMap;
-    /// use std::time::Duration;
-    /// use tarragon_dispatch::evacuation::Set;
-    /// use tarragon_dispatch::fleet::{Entry, Fleet, Location};
-    /// use tarragon_dispatch::warmup::Rate;
-    /// use tarragon_model::time::Instant;
-    ///
-    /// let (zone, regions) = ("a".to_owned(), HashMap::new());
-    /// let mut fleet = Fleet::new(Location { zone: zone.clone(), regions });
-    /// let now = Instant::from_millis(9_000);
-    /// let entry = Entry {
-    ///     id: "x".to_owned(),
-    ///     start_ms: 1,
-    ///     service: "s".to_owned(),
-    ///     addr: "127.0.0.1:9".parse().unwrap(),
-    ///     zone: zone.clone(),
-    ///     slots: 1,
-    ///     draining: false,
-    ///     warmup: Duration::ZERO,
-    /// };
-    /// fleet.update(entry, 1, now);
-    /// let zones = fleet.evacuation_mut();
-    /// zones.set_bound(Some(Duration::from_secs(5)));
-    /// zones.apply(&Set { revision: 1, zones: [zone].into_iter().collect(), ..Set::default() }, now, now);
-    /// zones.apply(&Set { revision: 2, ..Set::default() }, now, now);
-    /// let rate = Rate { per_s: 6.0, time: Duration::from_secs(8) };
-    /// let server = fleet.get("x").unwrap();
-    /// assert_eq!(fleet.cold_after_return(server, Some(&rate)), Some(now + rate.time));
-    /// assert_eq!(fleet.cold_after_return(server, None), None);
-    /// ```
-    #[must_use]
-    pub fn cold_after_return(&self, server: &Server, rate: Option<&Rate>) -> Option<Instant> {
-        let returned_at = self.evacuation.returned_at(&server.entry.zone)?;
-        Some(returned_at + rate?.time)
-    }
-
     /// Returns whether a zone has a region or a backend server.
     #[must_use]
     pub fn knows_zone(&self, zone: &str) -> bool {
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -58,7 +58,6 @@
         priority: 0,
         large_response: false,
         request_bytes: 0,
-        retryable: true,
         random: 0.0,
     };
     let randoms = (0..100).map(|step| f64::from(step) / 100.0);
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -49,7 +49,6 @@
         priority: 1,
         large_response: false,
         request_bytes: 0,
-        retryable: true,
         random: 0.5,
     }
 }
--- a/crates/dispatch/tests/homes.rs
+++ b/crates/dispatch/tests/homes.rs
@@ -51,7 +51,6 @@
         priority: 1,
         large_response: false,
         request_bytes: 0,
-        retryable: true,
         random,
     };
     fleet.pick(&criteria, &|_| true, NOW).map(|pick| pick.id)
--- a/crates/dispatch/tests/selection.rs
+++ b/crates/dispatch/tests/selection.rs
@@ -51,7 +51,7 @@
     fleet
 }
 
-fn criteria<'a>(homes: &'a Homes, tried: &'a [String], retryable: bool) -> Criteria<'a> {
+fn criteria<'a>(homes: &'a Homes, tried: &'a [String]) -> Criteria<'a> {
     Criteria {
         service: "s",
         homes,
@@ -61,7 +61,6 @@
         priority: 0,
         large_response: false,
         request_bytes: 300,
-        retryable,
         random: 0.5,
     }
 }
@@ -160,7 +159,7 @@
             objective: left(objective),
             priority: u32::from(!sent.is_read),
             random: f64::from(random(seed, 1_000_000)) / 1e6,
-            ..criteria(&homes, &sent.tried, sent.is_read)
+            ..criteria(&homes, &sent.tried)
         };
         let time = Instant::from_millis(now);
         let (host, is_read) = (sent.host, sent.is_read);
@@ -298,13 +297,13 @@
     }
 }
 
-fn picked(fleet: &Fleet, retryable: bool, at_ms: u64) -> Vec<Result<String, Refusal>> {
+fn picked(fleet: &Fleet, at_ms: u64) -> Vec<Result<String, Refusal>> {
     let homes = Homes::anywhere();
     let picked = (0..100).map(|number| {
         let random = f64::from(number) / 100.0;
         let criteria = Criteria {
             random,
-            ..criteria(&homes, &[], retryable)
+            ..criteria(&homes, &[])
         };
         let picked = fleet.pick(&criteria, &|_| true, Instant::from_millis(at_ms));
         picked.map(|pick| pick.id)
@@ -318,7 +317,7 @@
     for class in [AttemptClass::Shed, AttemptClass::Reset] {
         let mut fleet = host();
         end(&mut fleet, "s2", class, None, 50, 1);
-        let is_picked = |at_ms| picked(&fleet, true, at_ms).contains(&Ok("s2".to_owned()));
+        let is_picked = |at_ms| picked(&fleet, at_ms).contains(&Ok("s2".to_owned()));
         assert!(!is_picked(2) && is_picked(2_000), "{class:?}");
     }
 }
@@ -331,7 +330,7 @@
         let mut fleet = host();
         end_all(&mut fleet, 2, AttemptClass::Served, waiting);
         let far = |id: &String| id[1..].parse::<u32>().unwrap() % 2 == 1;
-        let left = picked(&fleet, true, 2).iter().flatten().any(far);
+        let left = picked(&fleet, 2).iter().flatten().any(far);
         assert_eq!(left, leaves, "{waiting} waiting");
     }
 }
@@ -343,7 +342,7 @@
     for class in [AttemptClass::Served, AttemptClass::Shed] {
         let mut fleet = host();
         end_all(&mut fleet, 1, class, 12);
-        let picked = picked(&fleet, false, 2);
+        let picked = picked(&fleet, 2);
         assert!(picked.iter().all(Result::is_ok), "{class:?}");
     }
 }
@@ -353,7 +352,7 @@
 fn the_retry_after_of_full_servers_is_spread_after_the_expected_wait() {
     let mut fleet = host();
     end_all(&mut fleet, 1, AttemptClass::Failed, 200);
-    let refusals = picked(&fleet, true, 2).into_iter();
+    let refusals = picked(&fleet, 2).into_iter();
     let waits: BTreeSet<Duration> = refusals
         .map(|refusal| match refusal {
             Err(Refusal::Overloaded(wait)) => wait,
--- a/crates/dispatch/tests/warmup.rs
+++ b/crates/dispatch/tests/warmup.rs
@@ -60,7 +60,6 @@
         priority: 1,
         large_response: false,
         request_bytes: 0,
-        retryable: true,
         random: 0.5,
     }
 }
--- a/crates/edge/src/routed/choice.rs
+++ b/crates/edge/src/routed/choice.rs
@@ -60,7 +60,6 @@
             priority: self.route.priority,
             large_response: self.route.kind == Kind::Download,
             request_bytes: self.content.body.len(),
-            retryable: self.content.retryable,
             random: rand::random(),
         }
     }
