Take refusals for overload only where requests wait

Refusals now count only if the servers report queues as well; admitting fewer requests can shorten a queue, but not mend a server.

--- a/crates/dispatch/src/admission/controller.rs
+++ b/crates/dispatch/src/admission/controller.rs
@@ -105,9 +105,12 @@
         let refused = ratio(counts.refused, counts.attempts);
         let waiting = ratio(counts.waiting, counts.slots);
         let late = ratio(counts.sum(|demand| demand.late), served);
+        // Servers in trouble refuse requests at any load, and admitting fewer would not help them.
+        let refused = if waiting > WAITING_AIM { refused } else { 0.0 };
+        let is_refusing = refused > REFUSED_HIGH && self.refusing >= REFUSED_INTERVALS;
         let short = counts.attempts >= MIN_ATTEMPTS
-            && (self.refusing >= REFUSED_INTERVALS || (waiting > WAITING_HIGH && late > LATE_HIGH));
-        let busy = waiting > WAITING_BUSY || refused > REFUSED_HIGH;
+            && (is_refusing || (waiting > WAITING_HIGH && late > LATE_HIGH));
+        let busy = waiting > WAITING_BUSY;
         let capacity = match self.capacity {
             None if !short => return,
             None => served / seconds,
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -212,3 +212,23 @@
         assert_eq!(controller.shares(now), []);
     }
 }
+
+/// Guards against admission control at servers in trouble that refuse requests without being full:
+/// the fewer requests were admitted, the fewer were served, and the shares fell to zero.
+#[test]
+fn no_shares_are_computed_while_servers_refuse_without_a_queue() {
+    let mut controller = Controller::default();
+    for step in 0..20 {
+        let mut report = empty_report();
+        let demand = &mut report.demand[0];
+        (demand.received, demand.admitted) = (100, 100);
+        (demand.served, demand.late) = (70, 20);
+        let pressure = &mut report.pressure[0];
+        (pressure.attempts, pressure.refused) = (160, 88);
+        (pressure.waiting, pressure.slots) = (50, 600);
+        controller.record(&report);
+        let now = Instant::from_millis(step * 400);
+        controller.update(now);
+        assert_eq!(controller.shares(now), []);
+    }
+}
