--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -48,6 +48,9 @@
 const MIN_EXCESS: f64 = 0.04;
 /// Utilization, relative to the mean, below which a server is given keys.
 const UNDERLOAD_RATIO: f64 = 0.4;
+/// Utilization, relative to the mean, below which a server counts as new: it is given keys however
+/// little traffic there is.
+const EMPTY_RATIO: f64 = 0.1;
 /// Maximum number of load-driven transfers in one plan.
 const MAX_MOVES: usize = 10;
 /// Utilization above which a server's heaviest key may move to a faster server.
@@ -314,12 +317,16 @@
         let calm = self.inputs.rates.is_calm();
         let mut sources: Vec<usize> = (0..self.loads.len()).collect();
         for _ in 0..MAX_MOVES {
+            if self.pieces.len() >= self.max_segments() {
+                return;
+            }
             let mean = self.mean_utilization();
             let target = self.least_utilized();
             let deficit = mean - self.utilization(target);
             let spare = deficit * self.capacity(target);
             let target_idle = self.utilization(target) < mean * UNDERLOAD_RATIO
-                && spare > self.noise(mean * self.capacity(target));
+                && (spare > self.noise(mean * self.capacity(target))
+                    || self.utilization(target) < mean * EMPTY_RATIO);
             let found = loop {
                 let Some(position) = self.most_utilized(&sources) else {
                     return;
--- a/crates/owner/src/balance/spread.rs
+++ b/crates/owner/src/balance/spread.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns the number of segments up to which ranges are split.
-    fn max_segments(&self) -> usize {
+    pub(super) fn max_segments(&self) -> usize {
         (self.loads.len() * MAX_SEGMENTS_PER_SERVER).max(MIN_SEGMENTS)
     }
 
--- a/crates/owner/src/surge.rs
+++ b/crates/owner/src/surge.rs
@@ -218,7 +218,8 @@
 fn falls(average: f64, recent: f64, spans: (f64, f64)) -> bool {
     let (rate, recent_rate) = (average / spans.0, recent / spans.1);
     // Between two reports of a single host, the recent rate falls to 0.6 of the average.
-    recent_rate * START_RATIO * 1.5 <= rate
+    average >= MIN_COUNT
+        && recent_rate * START_RATIO * 1.5 <= rate
         && rate - recent_rate >= MIN_DEVIATION / 2.0 * standard_error(rate, spans.1)
 }
 
