Hold requests back while the holder of their key is full

Cause: a host sent a keyed request again 60 ms after its holder had refused it, which used up retries, and rejected requests by its own estimate of the objective although callers wait for seconds. Change: after a refusal a host sends the holder one request at a time, in order of priority and age, paced by refusals and responses. Requests that cannot end within their objective, or half of the caller's time if that has passed, are rejected with the time of their turn. The estimate alone rejects only beyond half of the caller's time. The load header is not used for the pace yet.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod denial;
 pub mod fleet;
+pub mod holdback;
 pub mod homes;
 pub mod poison;
 pub mod table;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,7 @@
     requests: Counter<u64>,
     duration: Histogram<f64>,
     sends: Counter<u64>,
+    held_back: Counter<u64>,
     commands: Counter<u64>,
     command_send_delays: Histogram<f64>,
     command_durations: Histogram<f64>,
@@ -61,6 +62,7 @@
                 .with_unit("s")
                 .build(),
             sends: meter.u64_counter("tarragon.edge.sends").build(),
+            held_back: meter.u64_counter("tarragon.edge.held_back").build(),
             commands: meter.u64_counter("tarragon.edge.orders").build(),
             command_send_delays: delays("tarragon.edge.command.send_delay"),
             command_durations: delays("tarragon.edge.command.duration"),
@@ -88,6 +90,11 @@
         self.sends.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a request for a key whose holder is full, by what happened to it.
+    pub fn count_held_back(&self, result: &'static str) {
+        self.held_back.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a command to a backend server, by its action and its result.
     pub fn count_command(&self, action: &'static str, result: &'static str) {
         let labels = [
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -20,6 +20,7 @@
 mod choice;
 mod failure;
 mod holder;
+mod turn;
 
 pub use self::failure::{DEFAULT_RETRY_AFTER, Failure, STOPPING};
 
@@ -230,6 +231,9 @@
             self.trace_send(pick, &attempt, sent);
             self.record_claim(&target, &attempt.outcome);
             self.record_answer(pick, &attempt);
+            if keyed.is_some() {
+                self.record_load(&pick.id, &attempt.outcome);
+            }
             match self.after_send(pick, attempt.outcome, keyed).await {
                 Next::Done(response) => return Ok(response),
                 Next::Fail(failure) => return Err(failure),
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -10,6 +10,7 @@
 use tarragon_dispatch::catalog::Catalog;
 use tarragon_dispatch::denial::Denials;
 use tarragon_dispatch::fleet::{Change, Entry, Fleet, Location};
+use tarragon_dispatch::holdback::Holdback;
 use tarragon_dispatch::poison::{Fingerprint, Quarantine};
 use tarragon_dispatch::table::Table;
 use tarragon_model::time::Instant;
@@ -46,6 +47,8 @@
     pub fleet: Rc<RefCell<Fleet>>,
     /// Claims of the key maps that backend servers have denied.
     pub denials: RefCell<Denials>,
+    /// Holders that refused requests lately, and the requests that wait for them.
+    pub holdback: RefCell<Holdback>,
     /// Memory for the bodies of requests and responses.
     pub body_memory: Arc<body::Memory>,
     /// Requests suspected or known to crash backend servers.
@@ -100,6 +103,7 @@
             pool: Pool::default(),
             fleet: Rc::new(RefCell::new(Fleet::new(location))),
             denials: RefCell::default(),
+            holdback: RefCell::default(),
             body_memory,
             quarantine: RefCell::default(),
             host_count: Cell::new(ASSUMED_HOSTS),
