--- a/crates/edge/src/election/restored.rs
+++ b/crates/edge/src/election/restored.rs
@@ -9,7 +9,10 @@
 use tarragon_store::update::WriteOutcome;
 
 use super::elected::{Elected, Predecessor};
-use super::{HEARTBEAT_INTERVAL, Participant, Process, RENEWAL_INTERVAL, Record, Role, process_id};
+use super::{
+    HEARTBEAT_INTERVAL, Participant, Process, RENEWAL_INTERVAL, RENEWAL_TIMEOUT, Record, Role,
+    process_id,
+};
 use crate::state::State;
 
 /// Age above which no copy of the store lacks a term: copies are up to 30 s old, and a drill takes
@@ -95,6 +98,26 @@
         Some(forgotten(&self.state, voters))
     }
 
+    /// Returns for how long a record must have been absent before it is claimed. A granter whose
+    /// record the store has forgotten writes it again in that time.
+    ///
+    /// The last record that this host has read still tells of earlier granters then.
+    pub(super) fn absence_delay(&mut self, now: Instant) -> Duration {
+        let era = self.api.era();
+        if let Some((version, _)) = &mut self.record
+            && *version != Version::ABSENT
+            && version.era() < era
+        {
+            *version = Version::ABSENT;
+            self.record_seen = now;
+        }
+        if era == Era::UNKNOWN || self.state.settings.first_start {
+            Duration::ZERO
+        } else {
+            RENEWAL_TIMEOUT
+        }
+    }
+
     /// Returns the voters of a term that begins, which replaces `predecessors`.
     pub(super) fn first_voters(&self, predecessors: &[Process]) -> Voters {
         let mut voters = Voters::new(vec![self.own_id()]);
--- a/crates/edge/src/election/store.rs
+++ b/crates/edge/src/election/store.rs
@@ -90,7 +90,8 @@
         match result {
             Err(error) => log::debug!("event=election-read-failed error=\"{error}\""),
             Ok(None) => {
-                if now.since(self.record_seen) >= self.claim_delay() {
+                let wait = self.claim_delay() + self.absence_delay(now);
+                if now.since(self.record_seen) >= wait {
                     self.claim(Version::ABSENT);
                 }
             }
