Leave admission by priority off unless the settings ask for it

The computed capacity follows what is admitted, so it starves the lower priorities. Until that is solved, `admission` under bounds turns it on, and hosts neither report for it nor limit anything without it.

Requests that may run once were also held back where servers decline when full: lost responses at a busy server were taken for resets of a full one. A service whose full servers say that they did not run a request no longer counts as one that resets.

--- a/crates/dispatch/src/inflight.rs
+++ b/crates/dispatch/src/inflight.rs
@@ -59,6 +59,8 @@
     /// Requests beyond its slots at which a server of the service reset a connection, and until
     /// when that counts.
     resets: HashMap<String, (f64, Instant)>,
+    /// Until when a service counts as one whose full servers say that they did not run a request.
+    declines: HashMap<String, Instant>,
 }
 
 impl InFlight {
@@ -97,7 +99,9 @@
         if bytes > 0 && held > 0 && held + bytes > (SERVER_BYTES / hosts).max(MIN_HOST_BYTES) {
             return Err(Withheld::Bytes);
         }
+        let declines = self.declines.get(server.service);
         let resets = self.resets.get(server.service);
+        let resets = resets.filter(|_| declines.is_none_or(|until| now >= *until));
         if let Some((beyond, _)) = resets.filter(|(_, until)| once && now < *until) {
             let places = f64::from(server.slots) + beyond - SPARE_PLACES;
             if server.load + 1.0 > places.max(1.0) {
@@ -124,6 +128,29 @@
         }
     }
 
+    /// Notes that a server said that it did not run a request; `load` is what it reported with that.
+    ///
+    /// If all its slots were in use, full servers of the service do not reset connections, and lost
+    /// responses have another cause.
+    ///
+    /// ```
+    /// use tarragon_dispatch::inflight::{InFlight, Target};
+    /// use tarragon_model::time::Instant;
+    ///
+    /// let now = Instant::from_millis(1);
+    /// let server = |load| Target { id: "a", service: "s", load, slots: 6 };
+    /// let mut under_way = InFlight::default();
+    /// under_way.record_lost(server(7.0), now);
+    /// under_way.record_declined(server(9.0), now);
+    /// assert_eq!(under_way.check(server(6.0), 0, true, 71, now), Ok(()));
+    /// ```
+    pub fn record_declined(&mut self, server: Target<'_>, now: Instant) {
+        if server.load >= f64::from(server.slots) {
+            self.declines
+                .insert(server.service.to_owned(), now + RESET_MEMORY);
+        }
+    }
+
     /// Notes that a server ended the connection of a request without a response; its load includes
     /// that request. A server with a free slot had another reason. Returns whether this is the first
     /// sign that full servers of the service do so.
--- a/crates/edge/src/election.rs
+++ b/crates/edge/src/election.rs
@@ -549,7 +549,9 @@
         entries,
         changed: cluster.last_change(),
         evacuations: cluster.evacuations(state).map(Box::new),
-        shares: state.overload.compute_shares(elected.term.0, state.now()),
+        shares: state
+            .overload
+            .compute_shares(state, elected.term.0, state.now()),
     }
 }
 
--- a/crates/edge/src/overload.rs
+++ b/crates/edge/src/overload.rs
@@ -77,6 +77,9 @@
 
     /// Returns the report to the granter, and resets what it counts.
     pub fn take_report(&self, state: &State) -> Report {
+        if !state.bounds.get().admission {
+            return Report::default();
+        }
         let catalog = state.catalog();
         let mut pressure = state.fleet.borrow_mut().take_pressure();
         pressure.retain(|each| catalog.service(&each.service).is_some_and(|s| !s.keyed));
@@ -95,7 +98,11 @@
     }
 
     /// Returns the shares that the granter on this host sends now, and applies them to this host.
-    pub fn compute_shares(&self, term: u64, now: Instant) -> Vec<Share> {
+    /// There are none unless the settings ask for them.
+    pub fn compute_shares(&self, state: &State, term: u64, now: Instant) -> Vec<Share> {
+        if !state.bounds.get().admission {
+            return Vec::new();
+        }
         let (computed, shares) = self.with_controller(term, |controller| {
             (controller.update(now), controller.shares(now))
         });
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -371,6 +371,9 @@
         }
     };
     if not_run {
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            room::note_declined(state, guard.id, load);
+        }
         guard.finish(AttemptClass::Shed, load, 0);
         if matches!(content, Buffered::Complete(_)) {
             reuse.recycle(connection);
--- a/crates/edge/src/relay/room.rs
+++ b/crates/edge/src/relay/room.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use tarragon_dispatch::fleet::Load;
 use tarragon_dispatch::inflight::{InFlight, Target, Withheld};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -85,6 +86,21 @@
     }
 }
 
+/// Notes that a backend server said that it did not run a request, with the load that it reported.
+pub(super) fn note_declined(state: &State, id: &str, load: Option<Load>) {
+    let Some(load) = load else {
+        return;
+    };
+    with_target(state, id, |server| {
+        let reported = Target {
+            load: f64::from(load.running + load.waiting),
+            ..server
+        };
+        let mut under_way = state.room.under_way.borrow_mut();
+        under_way.record_declined(reported, state.now());
+    });
+}
+
 /// Notes that a backend server ended the connection of a request without a response.
 pub(super) fn note_lost(state: &State, id: &str) {
     let first = with_target(state, id, |server| {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -52,6 +52,8 @@
     pub retries: budget::Bound,
     /// Limit on the requests to a cold backend server, shared by all hosts; `None` if there is none.
     pub warmup: Option<warmup::Bound>,
+    /// Whether the granter limits the requests of low priorities while servers are short of capacity.
+    pub admission: bool,
     /// Time after which no request may reach the backend servers of a zone that is being emptied;
     /// `None` if the platform empties no zones.
     pub evacuation: Option<Duration>,
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -161,6 +161,7 @@
                 window: Duration::from_secs(10),
             },
             warmup: None,
+            admission: true,
             evacuation: None,
         },
     }
--- a/crates/edge/tests/overload.rs
+++ b/crates/edge/tests/overload.rs
@@ -145,14 +145,17 @@
     });
     let report: Report = serde_json::from_value(report).unwrap();
     let at = Instant::from_millis;
-    state.overload.compute_shares(7, at(0));
+    state.overload.compute_shares(&state, 7, at(0));
     for step in 1..=3 {
-        assert_eq!(state.overload.compute_shares(7, at(step * 400 - 1)), []);
+        assert_eq!(
+            state.overload.compute_shares(&state, 7, at(step * 400 - 1)),
+            []
+        );
         state.overload.record_report(7, &report);
-        state.overload.compute_shares(7, at(step * 400));
+        state.overload.compute_shares(&state, 7, at(step * 400));
     }
-    assert!(state.overload.compute_shares(7, at(1_300))[0].admitted < 0.6);
-    assert_eq!(state.overload.compute_shares(8, at(1_400)), []);
+    assert!(state.overload.compute_shares(&state, 7, at(1_300))[0].admitted < 0.6);
+    assert_eq!(state.overload.compute_shares(&state, 8, at(1_400)), []);
 }
 
 /// Encodes a value and decodes it as another type.
