--- a/crates/edge/tests/overload.rs
+++ b/crates/edge/tests/overload.rs
@@ -141,7 +141,7 @@
     let state = common::state();
     let report = json!({
         "demand": [{ "service": "s", "priority": 0, "received": 200, "admitted": 200, "served": 50, "late": 0 }],
-        "pressure": [{ "service": "s", "attempts": 200, "refused": 150, "waiting": 0, "slots": 0 }],
+        "pressure": [{ "service": "s", "attempts": 200, "refused": 150, "waiting": 400, "slots": 200 }],
     });
     let report: Report = serde_json::from_value(report).unwrap();
     let at = Instant::from_millis;
@@ -195,3 +195,23 @@
     overload.demand.push(Demand::default());
     assert!(matches!(convert(&frame), Previous::Report { beat_us: 5 }));
 }
+
+/// Guards against limits where the settings do not ask for them.
+#[tokio::test]
+async fn without_the_setting_nothing_is_reported_or_limited() {
+    let state = common::state();
+    let mut bounds = state.bounds.get();
+    bounds.admission = false;
+    state.bounds.set(bounds);
+    let demand = json!({ "service": "s", "priority": 0, "received": 200, "admitted": 200, "served": 50, "late": 40 });
+    let pressure =
+        json!({ "service": "s", "attempts": 200, "refused": 150, "waiting": 400, "slots": 200 });
+    let report = json!({ "demand": [demand], "pressure": [pressure] });
+    let report: Report = serde_json::from_value(report).unwrap();
+    for step in 0..5 {
+        state.overload.record_report(7, &report);
+        let now = Instant::from_millis(step * 400);
+        assert_eq!(state.overload.compute_shares(&state, 7, now), []);
+    }
+    assert_eq!(state.overload.take_report(&state), Report::default());
+}
