Remove the holding back of requests for full key holders

A host that held a request back used its time while other hosts took the free slots, and it rejected what it could not place.

Requests are admitted at the holder as before; Retry-After stays spread.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -453,19 +453,6 @@
         ))
     }
 
-    /// Returns the slots of a server, and the time that a request takes there without waiting for
-    /// others; `None` if the server is not known.
-    #[must_use]
-    pub fn work(&self, id: &str) -> Option<(u32, Duration)> {
-        let server = self.servers.get(id)?;
-        let baseline = self.baselines.get(&server.entry.service);
-        let work_ms = server
-            .estimate
-            .work_ms(&baseline.copied().unwrap_or_default());
-        let work = Duration::try_from_secs_f64(work_ms / 1_000.0).ok()?;
-        Some((server.entry.slots, work))
-    }
-
     /// Returns the expected response time of one more request at a server, `None` if the server is
     /// not known.
     #[must_use]
--- a/crates/dispatch/src/fleet/estimate.rs
+++ b/crates/dispatch/src/fleet/estimate.rs
@@ -358,11 +358,6 @@
         now < self.avoided_until
     }
 
-    /// Returns the time that a request takes without waiting for others, in milliseconds.
-    pub(super) fn work_ms(&self, baseline: &Baseline) -> f64 {
-        baseline.request_ms * self.slowness
-    }
-
     /// Returns whether one more request would have to wait for a slot.
     pub(super) fn is_full(&self, slots: u32, now: Instant) -> bool {
         self.load(now) >= f64::from(slots)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod denial;
 pub mod evacuation;
 pub mod fleet;
-pub mod holdback;
 pub mod homes;
 pub mod inflight;
 pub mod poison;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -21,7 +21,6 @@
     cold_sends: Counter<u64>,
     withheld: Counter<u64>,
     not_admitted: Counter<u64>,
-    held_back: Counter<u64>,
     commands: Counter<u64>,
     command_send_delays: Histogram<f64>,
     command_durations: Histogram<f64>,
@@ -71,7 +70,6 @@
             cold_sends: meter.u64_counter("tarragon.edge.cold_sends").build(),
             withheld: meter.u64_counter("tarragon.edge.withheld").build(),
             not_admitted: meter.u64_counter("tarragon.edge.not_admitted").build(),
-            held_back: meter.u64_counter("tarragon.edge.held_back").build(),
             commands: meter.u64_counter("tarragon.edge.orders").build(),
             command_send_delays: delays("tarragon.edge.command.send_delay"),
             command_durations: delays("tarragon.edge.command.duration"),
@@ -124,11 +122,6 @@
         self.not_admitted.add(1, &labels);
     }
 
-    /// Counts a request for a key whose holder is full, by what happened to it.
-    pub fn count_held_back(&self, result: &'static str) {
-        self.held_back.add(1, &[KeyValue::new("result", result)]);
-    }
-
     /// Counts a command to a backend server, by its action and its result.
     pub fn count_command(&self, action: &'static str, result: &'static str) {
         let labels = [
--- a/crates/edge/src/routed.rs
+++ b/crates/edge/src/routed.rs
@@ -20,7 +20,6 @@
 mod choice;
 mod failure;
 mod holder;
-mod turn;
 
 pub use self::failure::{DEFAULT_RETRY_AFTER, Failure, STOPPING};
 
@@ -232,9 +231,6 @@
             self.trace_send(pick, &attempt, sent);
             self.record_claim(&target, &attempt.outcome);
             self.record_answer(pick, &attempt);
-            if keyed.is_some() {
-                self.record_load(&pick.id, &attempt.outcome);
-            }
             match self.after_send(pick, attempt.outcome, keyed).await {
                 Next::Done(response) => {
                     self.record_served();
--- a/crates/edge/src/routed/holder.rs
+++ b/crates/edge/src/routed/holder.rs
@@ -51,11 +51,8 @@
             let found = self.find_holder(key);
             let wake = match found.holder {
                 Some(Holder::Ready(target)) => {
-                    if let Some(target) = self.wait_for_turn(target).await? {
-                        self.trace_keys(found.version, found.age_ms);
-                        return Ok(target);
-                    }
-                    continue;
+                    self.trace_keys(found.version, found.age_ms);
+                    return self.admit(target);
                 }
                 Some(Holder::Unreachable) => {
                     self.trace_keys(found.version, found.age_ms);
@@ -99,6 +96,18 @@
         );
     }
 
+    /// Refuses a request that was not sent yet if the holder of its key is too full.
+    fn admit(&self, target: Target) -> Result<Target, Failure> {
+        let state = self.state;
+        let fleet = state.fleet.borrow();
+        match fleet.retry_after(&target.pick.id, &self.criteria(), state.now()) {
+            Some(after) if self.sends == 0 => {
+                Err(self.failure("the key's backend server is full", after))
+            }
+            _ => Ok(target),
+        }
+    }
+
     /// Returns whether all servers that could get the key are in zones under evacuation.
     fn is_evacuated(&self) -> bool {
         let fleet = self.state.fleet.borrow();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -10,7 +10,6 @@
 use tarragon_dispatch::catalog::Catalog;
 use tarragon_dispatch::denial::Denials;
 use tarragon_dispatch::fleet::{Change, Entry, Fleet, Location};
-use tarragon_dispatch::holdback::Holdback;
 use tarragon_dispatch::poison::{Fingerprint, Quarantine};
 use tarragon_dispatch::table::Table;
 use tarragon_model::time::Instant;
@@ -51,8 +50,6 @@
     pub denials: RefCell<Denials>,
     /// Admission of requests while servers are short of capacity.
     pub overload: Overload,
-    /// Holders that refused requests lately, and the requests that wait for them.
-    pub holdback: RefCell<Holdback>,
     /// Memory for the bodies of requests and responses.
     pub body_memory: Arc<body::Memory>,
     /// What is under way at the backend servers.
@@ -112,7 +109,6 @@
             fleet: Rc::new(RefCell::new(fleet)),
             denials: RefCell::default(),
             overload: Overload::default(),
-            holdback: RefCell::default(),
             body_memory,
             room: Room::default(),
             quarantine: RefCell::default(),
