--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -124,8 +124,16 @@
     }
 
     pub fn exchange(&mut self, bytes: &[u8], timeout: Duration) -> io::Result<Message> {
+        self.send(bytes)?;
+        self.receive(timeout)
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.reader.get_mut().write_all(bytes)
+    }
+
+    pub fn receive(&mut self, timeout: Duration) -> io::Result<Message> {
         self.reader.get_ref().set_read_timeout(Some(timeout))?;
-        self.reader.get_mut().write_all(bytes)?;
         let ended = || io::Error::new(io::ErrorKind::UnexpectedEof, "closed without an answer");
         read(&mut self.reader)?.ok_or_else(ended)
     }
--- a/review/standin-2/kept_uploads.rs
+++ b/review/standin-2/kept_uploads.rs
@@ -14,89 +14,106 @@
 use crate::world::{HOST, Route, World};
 
 const ROUTE: Route = Route {
-    prefix: "/topup/",
-    kind: "non_idempotent",
-    service: "topup-desk",
+    prefix: "/plans/",
+    kind: "upload",
+    service: "showroom-media",
     keyed: false,
-    timeout_ms: 5_000,
+    timeout_ms: 8_000,
     attempts: 2,
 };
 
 const PLAN: Plan =
-    Plan { service: "topup-desk", keyed: false, slots: 6, work: Duration::from_millis(30) };
+    Plan { service: "showroom-media", keyed: false, slots: 2, work: Duration::from_millis(160) };
 
 /// Connections that clients keep to each machine, and the factor of the burst.
-const KEPT: usize = 2_200;
+const KEPT: usize = 620;
 const BURST: f64 = 1.7;
 const BURST_TIME: Duration = Duration::from_secs(5);
-/// Body of each request. `max-body-bytes` is 64 MiB.
-const BODY: usize = 64 * 1024;
+/// Body of each request: the mean of `plan-upload` in the site file.
+const BODY: usize = 60_000;
 /// Time between two requests on a connection; `idle-timeout-ms` is 15 s.
 const PAUSE: Duration = Duration::from_secs(8);
-/// `memory-limit-mb` of the pages.
-const MEMORY: u64 = 260 * 1024 * 1024;
+/// `memory-limit-mb` of the small machines of the site.
+const MEMORY_MB: u64 = 120;
+/// Threads that play the users of one machine, those that stay and those of the burst.
 const THREADS: usize = 20;
 
 struct Load {
     stop: AtomicBool,
-    /// Connections to keep to each machine.
-    target: AtomicUsize,
-    open: AtomicUsize,
+    in_burst: AtomicBool,
     served: AtomicUsize,
     /// Requests whose connection ended without an answer.
     cut: Mutex<Vec<String>>,
     other: AtomicUsize,
 }
 
-fn keep(load: &Load, share: usize, front: SocketAddr, record: &Record) {
+/// Connection with the time of its next request, and the id of the one that waits for an answer.
+struct Kept {
+    connection: Connection,
+    due: Instant,
+    waiting: Option<String>,
+}
+
+fn upload(id: &str, body: &[u8]) -> Vec<u8> {
+    let headers = [
+        ("Host", HOST.to_owned()),
+        ("Tarragonthread-Request-Id", id.to_owned()),
+        ("Tarragonthread-Deadline-Ms", "8000".to_owned()),
+    ];
+    http::request("POST", &format!("/plans/{id}"), &headers, body)
+}
+
+/// Plays some users. Those of the burst come with it, and leave when it is over.
+fn keep(load: &Load, of_burst: bool, front: SocketAddr, record: &Record) {
     let body = vec![b'u'; BODY];
-    let mut all: Vec<(Connection, Instant)> = Vec::new();
+    let more = (KEPT as f64 * (BURST - 1.0)) as usize;
+    let mut all: Vec<Kept> = Vec::new();
     while !load.stop.load(Ordering::SeqCst) {
-        let target = load.target.load(Ordering::SeqCst) / THREADS + share % 2;
-        while all.len() > target {
-            all.pop();
-            load.open.fetch_sub(1, Ordering::SeqCst);
-        }
-        if all.len() < target {
+        let target = match (of_burst, load.in_burst.load(Ordering::SeqCst)) {
+            (false, _) => KEPT / THREADS,
+            (true, true) => more / THREADS,
+            (true, false) => 0,
+        };
+        all.truncate(target);
+        while all.len() < target && !load.stop.load(Ordering::SeqCst) {
             match Connection::open(front, Duration::from_secs(1)) {
                 Ok(connection) => {
-                    all.push((connection, Instant::now()));
-                    load.open.fetch_add(1, Ordering::SeqCst);
+                    all.push(Kept { connection, due: Instant::now(), waiting: None });
                 }
                 Err(_) => std::thread::sleep(Duration::from_millis(50)),
             }
         }
+        // The users send side by side, and then wait for their answers.
         let now = Instant::now();
-        let due = all.iter().position(|(_, at)| *at <= now);
-        let Some(index) = due else {
-            std::thread::sleep(Duration::from_millis(2));
-            continue;
-        };
-        let id = request_id();
-        let headers = [
-            ("Host", HOST.to_owned()),
-            ("Tarragonthread-Request-Id", id.clone()),
-            ("Tarragonthread-Deadline-Ms", "5000".to_owned()),
-        ];
-        let bytes = http::request("POST", &format!("/topup/{id}"), &headers, &body);
-        let (connection, at) = &mut all[index];
-        let answer = connection.exchange(&bytes, Duration::from_secs(6));
-        *at = Instant::now() + PAUSE;
-        match answer {
-            Ok(message) if message.status() == 200 => {
-                load.served.fetch_add(1, Ordering::SeqCst);
-            }
-            Ok(message) => {
-                record.note(&format!("client sent {id}: {}", message.status()));
-                load.other.fetch_add(1, Ordering::SeqCst);
-            }
-            Err(error) => {
-                record.note(&format!("client sent {id}: {error}"));
-                load.cut.lock().expect("cut").push(id);
-                all.swap_remove(index);
-                load.open.fetch_sub(1, Ordering::SeqCst);
+        for kept in all.iter_mut().filter(|kept| kept.due <= now) {
+            let id = request_id();
+            let sent = kept.connection.send(&upload(&id, &body));
+            if let Err(error) = sent {
+                record.note(&format!("client could not send all of {id}: {error}"));
             }
+            kept.waiting = Some(id);
         }
+        all.retain_mut(|kept| {
+            let Some(id) = kept.waiting.take() else { return true };
+            kept.due = now + PAUSE;
+            match kept.connection.receive(Duration::from_secs(10)) {
+                Ok(message) if message.status() == 200 => {
+                    load.served.fetch_add(1, Ordering::SeqCst);
+                    true
+                }
+                Ok(message) => {
+                    record.note(&format!("client sent {id}: {}", message.status()));
+                    load.other.fetch_add(1, Ordering::SeqCst);
+                    true
+                }
+                Err(error) => {
+                    record.note(&format!("client sent {id}: {error}"));
+                    load.cut.lock().expect("cut").push(id);
+                    false
+                }
+            }
+        });
+        std::thread::sleep(Duration::from_millis(5));
     }
 }
 
@@ -111,7 +128,11 @@
         world.backend(&format!("i-a{number}"), &PLAN);
     }
     for number in 1..=2 {
-        world.machine(&format!("front-{number}"), true);
+        world.sized_machine(&format!("front-{number}"), true, |machine| {
+            machine.memory_mb = MEMORY_MB;
+            machine.cpu_share = "0.075";
+            machine.descriptors = 3_075;
+        });
     }
     if !world.wait(Duration::from_secs(15), |w| w.routers.iter().all(|r| r.in_rotation())) {
         return Err("the routers were not ready in time".to_owned());
@@ -119,17 +140,17 @@
     std::thread::sleep(Duration::from_secs(2));
     let load = Arc::new(Load {
         stop: AtomicBool::new(false),
-        target: AtomicUsize::new(KEPT),
-        open: AtomicUsize::new(0),
+        in_burst: AtomicBool::new(false),
         served: AtomicUsize::new(0),
         cut: Mutex::default(),
         other: AtomicUsize::new(0),
     });
     let mut threads = Vec::new();
     for router in &world.routers {
-        for share in 0..THREADS {
+        for number in 0..2 * THREADS {
             let (load, front, record) = (Arc::clone(&load), router.machine.front, record.clone());
-            threads.push(std::thread::spawn(move || keep(&load, share, front, &record)));
+            let of_burst = number >= THREADS;
+            threads.push(std::thread::spawn(move || keep(&load, of_burst, front, &record)));
         }
     }
     let mut killed = 0;
@@ -143,23 +164,21 @@
         let next = if in_burst { "burst" } else { "steady" };
         if next != phase || elapsed.as_millis() % 5_000 < 20 {
             record.say(&format!(
-                "{:>7} {next}: {} connections, memory {:?} MB, {} requests served",
+                "{:>7} {next}: most memory {:?} MB, {} requests served",
                 record.ms(),
-                load.open.load(Ordering::SeqCst),
                 most.map(|bytes| bytes >> 20),
                 load.served.load(Ordering::SeqCst)
             ));
             phase = next;
         }
-        let factor = if in_burst { BURST } else { 1.0 };
-        load.target.store((KEPT as f64 * factor) as usize, Ordering::SeqCst);
+        load.in_burst.store(in_burst, Ordering::SeqCst);
         for (index, router) in world.routers.iter_mut().enumerate() {
             if router.has_ended() {
                 return Err(format!("{} ended by itself", router.machine.node));
             }
             let bytes = router.memory();
             most[index] = most[index].max(bytes);
-            if bytes > MEMORY {
+            if bytes > MEMORY_MB << 20 {
                 record.say(&format!(
                     "{:>7} {} uses {} MB: the platform kills it and starts it again",
                     record.ms(),
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 
 mod backend;
 mod clients;
+mod descriptors;
 mod header_limit;
 mod http;
 mod json;
@@ -36,6 +37,7 @@
     record.say(&format!("case {case}, TROUBLE={trouble}"));
     let result = match case.as_str() {
         "lost-majority" => lost_majority::run(&record, &trouble),
+        "descriptors" => descriptors::run(&record, &trouble),
         "header-limit" => header_limit::run(&record, &trouble),
         "kept-uploads" => kept_uploads::run(&record, &trouble),
         _ => Err("no such case".to_owned()),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -103,10 +103,16 @@
 
     /// Starts a machine with the router.
     pub fn machine(&mut self, node: &str, first_start: bool) {
+        self.sized_machine(node, first_start, |_| {});
+    }
+
+    /// Starts a machine with the router after `change` has set its limits.
+    pub fn sized_machine(&mut self, node: &str, first_start: bool, change: impl Fn(&mut Machine)) {
         let (store, _) = self.store.open("127.0.0.1");
         let mut machine = Machine::new(node, self.machines, store);
         self.machines += 1;
         machine.first_start = first_start;
+        change(&mut machine);
         machine.seeds = self.routers.iter().take(3).map(|r| r.machine.control).collect();
         self.routers.push(Router::start(machine, &self.dir, &self.record));
     }
